--- /dev/null
+++ b/crates/consensus/src/log.rs
@@ -0,0 +1,104 @@
+//! The part of the log after the last snapshot.
+
+use crate::{Entry, Index, Membership, Payload, Snapshot, Term};
+
+#[derive(Debug)]
+pub(crate) struct Log {
+    snapshot: Snapshot,
+    entries: Vec<Entry>,
+}
+
+impl Log {
+    pub(crate) fn new(snapshot: Snapshot, entries: Vec<Entry>) -> Self {
+        let entries = entries.into_iter().filter(|entry| entry.index > snapshot.index).collect();
+        Self { snapshot, entries }
+    }
+
+    pub(crate) fn snapshot(&self) -> &Snapshot {
+        &self.snapshot
+    }
+
+    pub(crate) fn last_index(&self) -> Index {
+        self.snapshot.index + self.entries.len() as Index
+    }
+
+    pub(crate) fn last_term(&self) -> Term {
+        self.entries.last().map_or(self.snapshot.term, |entry| entry.term)
+    }
+
+    pub(crate) fn term_at(&self, index: Index) -> Option<Term> {
+        if index == self.snapshot.index {
+            return Some(self.snapshot.term);
+        }
+        self.get(index).map(|entry| entry.term)
+    }
+
+    pub(crate) fn get(&self, index: Index) -> Option<&Entry> {
+        let offset = index.checked_sub(self.snapshot.index + 1)?;
+        self.entries.get(offset as usize)
+    }
+
+    /// Returns the entries from `start`, at most `limit` of them.
+    pub(crate) fn slice(&self, start: Index, limit: usize) -> &[Entry] {
+        let from = (start.saturating_sub(self.snapshot.index + 1) as usize).min(self.entries.len());
+        let to = (from + limit).min(self.entries.len());
+        &self.entries[from..to]
+    }
+
+    pub(crate) fn push(&mut self, entry: Entry) {
+        debug_assert_eq!(entry.index, self.last_index() + 1);
+        self.entries.push(entry);
+    }
+
+    /// Appends entries that follow a matching one. Returns the first index that changed.
+    pub(crate) fn merge(&mut self, entries: Vec<Entry>) -> Option<Index> {
+        let mut first_changed = None;
+        for entry in entries {
+            if entry.index <= self.snapshot.index {
+                continue;
+            }
+            if self.term_at(entry.index) == Some(entry.term) {
+                continue;
+            }
+            let keep = (entry.index - self.snapshot.index - 1) as usize;
+            self.entries.truncate(keep);
+            first_changed.get_or_insert(entry.index);
+            self.push(entry);
+        }
+        first_changed
+    }
+
+    /// Drops the entries that a snapshot covers and keeps those after it.
+    pub(crate) fn compact(&mut self, snapshot: Snapshot) {
+        let covered = (snapshot.index - self.snapshot.index) as usize;
+        self.entries.drain(..covered.min(self.entries.len()));
+        self.snapshot = snapshot;
+    }
+
+    /// Replaces the log by a snapshot of a leader.
+    pub(crate) fn reset(&mut self, snapshot: Snapshot) {
+        let is_extended = self.term_at(snapshot.index) == Some(snapshot.term);
+        if is_extended {
+            self.compact(snapshot);
+        } else {
+            self.entries.clear();
+            self.snapshot = snapshot;
+        }
+    }
+
+    /// Returns the latest membership up to an index.
+    pub(crate) fn membership_at(&self, index: Index) -> &Membership {
+        let entries = self.entries.iter().rev().filter(|entry| entry.index <= index);
+        let memberships = entries.filter_map(|entry| match &entry.payload {
+            Payload::Membership(membership) => Some(membership),
+            _ => None,
+        });
+        memberships.take(1).next().unwrap_or(&self.snapshot.membership)
+    }
+
+    /// Returns whether a membership change lies after an index.
+    pub(crate) fn has_membership_after(&self, index: Index) -> bool {
+        let is_membership = |entry: &Entry| matches!(entry.payload, Payload::Membership(_));
+        self.entries.iter().any(|entry| entry.index > index && is_membership(entry))
+    }
+}
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,21 @@
+//! A control replica: profiles, claims and the directory of announced upstreams.
+//!
+//! One thread owns the replicated log and its files; the listener's threads hand it inputs and read
+//! the [`view::View`] that it publishes.
+
+pub mod claims;
+pub mod directory;
+mod formation;
+mod peers;
+pub mod profiles;
+mod replica;
+mod server;
+mod service;
+mod settings;
+pub mod state;
+mod view;
+
+pub use crate::{
+    server::{ServerError, run},
+    settings::{MemberAddress, Settings, SettingsError, command},
+};
--- /dev/null
+++ b/crates/control/src/peers.rs
@@ -0,0 +1,162 @@
+//! Outbound streams to the other replicas.
+
+use std::time::Duration;
+
+use consensus::{Envelope, Message, ReplicaId};
+use indexmap::IndexMap;
+use rpc::ReplicaMessage;
+use rpc::replica_client::ReplicaClient;
+use slog::{Logger, debug};
+use tokio::runtime::Handle;
+use tokio::sync::mpsc;
+use tokio_stream::wrappers::ReceiverStream;
+use tonic::transport::{Channel, Endpoint};
+
+const QUEUE_MESSAGES: usize = 1_024;
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+const PING_INTERVAL: Duration = Duration::from_millis(500);
+const PING_TIMEOUT: Duration = Duration::from_millis(500);
+const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Sends messages to other replicas, without waiting.
+pub(crate) trait Outbox {
+    /// Tells where a replica is reached.
+    fn learn_address(&mut self, id: ReplicaId, address: &str);
+    /// Sends a message or drops it.
+    fn send(&mut self, envelope: Envelope);
+}
+
+/// Opens a channel to a program of the system. A silent connection is closed by its pings.
+///
+/// # Errors
+///
+/// Returns an error if the address is malformed.
+pub(crate) fn channel(address: &str) -> Result<Channel, tonic::transport::Error> {
+    let endpoint = Endpoint::from_shared(format!("http://{address}"))?
+        .connect_timeout(CONNECT_TIMEOUT)
+        .http2_keep_alive_interval(PING_INTERVAL)
+        .keep_alive_timeout(PING_TIMEOUT)
+        .keep_alive_while_idle(true)
+        .tcp_nodelay(true);
+    Ok(endpoint.connect_lazy())
+}
+
+/// What a stream says of its sender.
+#[derive(Debug, Clone)]
+pub(crate) struct Sender {
+    pub(crate) cluster_id: String,
+    pub(crate) id: ReplicaId,
+    pub(crate) address: String,
+}
+
+/// One stream for each replica.
+pub(crate) struct PeerStreams {
+    runtime: Handle,
+    log: Logger,
+    own: Sender,
+    addresses: IndexMap<ReplicaId, String>,
+    streams: IndexMap<ReplicaId, PeerStream>,
+}
+
+struct PeerStream {
+    address: String,
+    messages: mpsc::Sender<Message>,
+}
+
+impl PeerStreams {
+    pub(crate) fn new(runtime: Handle, log: Logger, own: Sender) -> Self {
+        Self { runtime, log, own, addresses: IndexMap::new(), streams: IndexMap::new() }
+    }
+
+    fn open(&self, to: ReplicaId, address: String) -> PeerStream {
+        let (messages, receiver) = mpsc::channel(QUEUE_MESSAGES);
+        let task = StreamTask {
+            log: self.log.clone(),
+            own: self.own.clone(),
+            to,
+            address: address.clone(),
+        };
+        self.runtime.spawn(task.run(receiver));
+        PeerStream { address, messages }
+    }
+}
+
+impl Outbox for PeerStreams {
+    fn learn_address(&mut self, id: ReplicaId, address: &str) {
+        if self.addresses.get(&id).is_none_or(|known| known != address) {
+            self.addresses.insert(id, address.to_owned());
+        }
+    }
+
+    fn send(&mut self, envelope: Envelope) {
+        let Some(address) = self.addresses.get(&envelope.to) else { return };
+        let is_current =
+            self.streams.get(&envelope.to).is_some_and(|stream| stream.address == *address);
+        if !is_current {
+            let stream = self.open(envelope.to, address.clone());
+            self.streams.insert(envelope.to, stream);
+        }
+        // A full queue drops the message; the log repeats what is not acknowledged.
+        let _ = self.streams[&envelope.to].messages.try_send(envelope.message);
+    }
+}
+
+struct StreamTask {
+    log: Logger,
+    own: Sender,
+    to: ReplicaId,
+    address: String,
+}
+
+impl StreamTask {
+    /// Forwards messages until the replica closes the queue, reconnecting as needed.
+    async fn run(self, mut messages: mpsc::Receiver<Message>) {
+        loop {
+            let Some(first) = messages.recv().await else { return };
+            if let Err(status) = self.stream(first, &mut messages).await {
+                debug!(self.log, "replica-stream-lost";
+                    "to" => %self.to, "error" => status.message().to_owned());
+            }
+            tokio::time::sleep(RECONNECT_PAUSE).await;
+            // What queued up meanwhile is stale.
+            while messages.try_recv().is_ok() {}
+        }
+    }
+
+    async fn stream(
+        &self,
+        first: Message,
+        messages: &mut mpsc::Receiver<Message>,
+    ) -> Result<(), tonic::Status> {
+        let channel = channel(&self.address).map_err(|e| tonic::Status::from_error(e.into()))?;
+        let (sender, receiver) = mpsc::channel(QUEUE_MESSAGES);
+        let mut client = ReplicaClient::new(channel).max_encoding_message_size(usize::MAX);
+        let call = client.deliver(ReceiverStream::new(receiver));
+        tokio::pin!(call);
+        let mut next = Some(first);
+        loop {
+            if let Some(message) = next.take().and_then(|message| self.encode(&message)) {
+                // The call reports its own end below.
+                let _ = sender.try_send(message);
+            }
+            tokio::select! {
+                result = &mut call => return result.map(drop),
+                message = messages.recv() => match message {
+                    Some(message) => next = Some(message),
+                    None => return Ok(()),
+                },
+            }
+        }
+    }
+
+    fn encode(&self, message: &Message) -> Option<ReplicaMessage> {
+        let payload = postcard::to_stdvec(message).ok()?;
+        Some(ReplicaMessage {
+            cluster_id: self.own.cluster_id.clone(),
+            from: self.own.id.0,
+            to: self.to.0,
+            payload: payload.into(),
+            from_address: self.own.address.clone(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/control/src/service.rs
@@ -0,0 +1,156 @@
+//! The services that a replica offers to nodes, operators and other replicas.
+
+mod claim_service;
+mod directory_service;
+mod profile_service;
+mod replica_service;
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use consensus::Role;
+use daemon::Clock;
+use rpc::SyncDirectoryRequest;
+use rpc::claims_server::ClaimsServer;
+use rpc::directory_server::DirectoryServer;
+use rpc::profiles_server::ProfilesServer;
+use rpc::replica_client::ReplicaClient;
+use rpc::replica_server::ReplicaServer;
+use slog::Logger;
+use tokio::sync::watch;
+use tonic::transport::server::Router;
+use tonic::transport::{Channel, Server};
+
+use crate::directory::Directory;
+use crate::peers;
+use crate::replica::ReplicaHandle;
+use crate::settings::Settings;
+
+const SYNC_INTERVAL: Duration = Duration::from_millis(250);
+const SYNC_TIMEOUT: Duration = Duration::from_millis(500);
+const MAX_MESSAGE_BYTES: usize = 64 * 1024 * 1024;
+
+/// What all services share.
+#[derive(Clone)]
+pub(crate) struct Shared {
+    pub(crate) log: Logger,
+    pub(crate) clock: Clock,
+    pub(crate) settings: Arc<Settings>,
+    pub(crate) replica: ReplicaHandle,
+    pub(crate) directory: Arc<Mutex<Directory>>,
+    pub(crate) directory_revision: watch::Sender<u64>,
+    pub(crate) stop: watch::Receiver<bool>,
+}
+
+impl Shared {
+    pub(crate) fn new(
+        log: Logger,
+        clock: Clock,
+        settings: Settings,
+        replica: ReplicaHandle,
+        stop: watch::Receiver<bool>,
+    ) -> Self {
+        let first_revision = Clock::unix_us();
+        Self {
+            log,
+            clock,
+            settings: Arc::new(settings),
+            replica,
+            directory: Arc::new(Mutex::new(Directory::new(first_revision))),
+            directory_revision: watch::channel(first_revision).0,
+            stop,
+        }
+    }
+
+    pub(crate) fn directory(&self) -> MutexGuard<'_, Directory> {
+        self.directory.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Wakes the streams to nodes if the directory changed.
+    pub(crate) fn announce_directory(&self) {
+        let revision = self.directory().revision();
+        self.directory_revision.send_if_modified(|known| {
+            let is_new = *known != revision;
+            *known = revision;
+            is_new
+        });
+    }
+
+    /// Opens a channel to the leader, unless this replica leads or none is known.
+    pub(crate) fn leader_channel(&self) -> Option<Channel> {
+        let view = self.replica.view();
+        if view.is_leader() {
+            return None;
+        }
+        peers::channel(view.leader_address()?).ok()
+    }
+
+    /// Refuses a message of another cluster.
+    #[allow(clippy::result_large_err)] // The signature of tonic's services.
+    pub(crate) fn check_cluster(&self, cluster_id: &str) -> Result<(), tonic::Status> {
+        if cluster_id == self.settings.cluster_id {
+            return Ok(());
+        }
+        Err(tonic::Status::permission_denied("the message belongs to another cluster"))
+    }
+}
+
+/// Adds every service to a server.
+pub(crate) fn add_services(mut server: Server, shared: &Shared) -> Router {
+    let replica = ReplicaServer::new(replica_service::ReplicaService::new(shared.clone()))
+        .max_decoding_message_size(MAX_MESSAGE_BYTES);
+    server
+        .add_service(ClaimsServer::new(claim_service::ClaimService::new(shared.clone())))
+        .add_service(DirectoryServer::new(directory_service::DirectoryService::new(shared.clone())))
+        .add_service(ProfilesServer::new(profile_service::ProfileService::new(shared.clone())))
+        .add_service(replica)
+}
+
+/// Returns the name of a role in status reports.
+pub(crate) fn role_name(role: Role) -> &'static str {
+    match role {
+        Role::Follower => "follower",
+        Role::PreCandidate => "pre-candidate",
+        Role::Candidate => "candidate",
+        Role::Leader => "leader",
+    }
+}
+
+/// Copies the endpoints that report to the other replicas, until the program stops.
+pub(crate) async fn sync_directories(shared: Shared) {
+    let mut known = indexmap::IndexMap::new();
+    let mut stop = shared.stop.clone();
+    loop {
+        let view = shared.replica.view();
+        let others = view.membership.members.iter().filter(|(id, _)| **id != view.id);
+        for (id, member) in others {
+            let known_revision = known.entry(*id).or_insert(0);
+            sync_with(&shared, id.0, &member.address, known_revision).await;
+        }
+        shared.directory().expire(shared.clock.now_us());
+        shared.announce_directory();
+        tokio::select! {
+            () = tokio::time::sleep(SYNC_INTERVAL) => {}
+            _ = stop.changed() => return,
+        }
+    }
+}
+
+async fn sync_with(shared: &Shared, replica: u64, address: &str, known_revision: &mut u64) {
+    let Ok(channel) = peers::channel(address) else { return };
+    let mut client = ReplicaClient::new(channel).max_decoding_message_size(MAX_MESSAGE_BYTES);
+    let request = SyncDirectoryRequest {
+        cluster_id: shared.settings.cluster_id.clone(),
+        known_revision: *known_revision,
+    };
+    let call = tokio::time::timeout(SYNC_TIMEOUT, client.sync_directory(request)).await;
+    let Ok(Ok(reply)) = call else { return };
+    let reply = reply.into_inner();
+    let now_us = shared.clock.now_us();
+    if reply.is_unchanged {
+        shared.directory().renew_remote(now_us, replica);
+    } else {
+        shared.directory().replace_remote(now_us, replica, reply.endpoints);
+        *known_revision = reply.revision;
+    }
+}
--- /dev/null
+++ b/crates/control/src/service/claim_service.rs
@@ -0,0 +1,128 @@
+//! Claims on non-idempotent work.
+
+use std::time::Duration;
+
+use daemon::Clock;
+use rpc::claims_client::ClaimsClient;
+use rpc::claims_server::Claims;
+use rpc::{
+    ClaimReply, ClaimRequest, ClaimStatus, Header, SettleReply, SettleRequest, StoredAnswer,
+};
+use tonic::{Request, Response, Status};
+
+use super::Shared;
+use crate::claims::{Claim, ClaimKey, ClaimResult, KeptAnswer, KeptHeader, Settle};
+use crate::state::{Applied, Command};
+
+/// Time after which a claim counts as refused for want of a quorum.
+const CLAIM_TIMEOUT: Duration = Duration::from_millis(800);
+
+pub(super) struct ClaimService {
+    shared: Shared,
+}
+
+impl ClaimService {
+    pub(super) fn new(shared: Shared) -> Self {
+        Self { shared }
+    }
+
+    async fn claim_here(&self, request: ClaimRequest) -> ClaimReply {
+        let command = Command::Claim(Claim {
+            key: ClaimKey { key: request.key, service: request.service, route: request.route },
+            body_digest: request.body_digest.to_vec(),
+            holder: request.holder,
+            deadline_ms: request.deadline_ms,
+            window_ms: self.shared.settings.claim_window_ms,
+            at_unix_ms: Clock::unix_us() / 1_000,
+        });
+        match self.shared.replica.propose(command).await {
+            Ok(Applied::Claim(result)) => claim_reply(result),
+            _ => no_quorum(),
+        }
+    }
+
+    async fn settle_here(&self, request: SettleRequest) -> SettleReply {
+        let command = Command::Settle(Settle {
+            key: ClaimKey { key: request.key, service: request.service, route: request.route },
+            holder: request.holder,
+            answer: request.answer.map(kept_answer),
+        });
+        let applied = self.shared.replica.propose(command).await;
+        SettleReply { is_committed: applied == Ok(Applied::Settle(true)) }
+    }
+}
+
+#[tonic::async_trait]
+impl Claims for ClaimService {
+    async fn claim(&self, request: Request<ClaimRequest>) -> Result<Response<ClaimReply>, Status> {
+        let request = request.into_inner();
+        let may_forward = !request.is_forwarded;
+        let work = async {
+            match self.shared.leader_channel() {
+                Some(channel) if may_forward => {
+                    let forwarded = ClaimRequest { is_forwarded: true, ..request };
+                    let reply = ClaimsClient::new(channel).claim(forwarded).await;
+                    reply.map_or_else(|_| no_quorum(), Response::into_inner)
+                }
+                _ => self.claim_here(request).await,
+            }
+        };
+        let reply = tokio::time::timeout(CLAIM_TIMEOUT, work).await;
+        Ok(Response::new(reply.unwrap_or_else(|_| no_quorum())))
+    }
+
+    async fn settle(
+        &self,
+        request: Request<SettleRequest>,
+    ) -> Result<Response<SettleReply>, Status> {
+        let request = request.into_inner();
+        let may_forward = !request.is_forwarded;
+        let work = async {
+            match self.shared.leader_channel() {
+                Some(channel) if may_forward => {
+                    let forwarded = SettleRequest { is_forwarded: true, ..request };
+                    let reply = ClaimsClient::new(channel).settle(forwarded).await;
+                    reply.map_or_else(|_| SettleReply::default(), Response::into_inner)
+                }
+                _ => self.settle_here(request).await,
+            }
+        };
+        let reply = tokio::time::timeout(CLAIM_TIMEOUT, work).await;
+        Ok(Response::new(reply.unwrap_or_default()))
+    }
+}
+
+fn no_quorum() -> ClaimReply {
+    ClaimReply { status: ClaimStatus::NoQuorum.into(), attempt: 0, answer: None }
+}
+
+fn claim_reply(result: ClaimResult) -> ClaimReply {
+    let (status, attempt, answer) = match result {
+        ClaimResult::Granted { attempt } => (ClaimStatus::Granted, attempt, None),
+        ClaimResult::Running => (ClaimStatus::Running, 0, None),
+        ClaimResult::Finished(answer) => (ClaimStatus::Finished, 0, Some(stored_answer(answer))),
+        ClaimResult::Unknown => (ClaimStatus::Unknown, 0, None),
+        ClaimResult::Conflict => (ClaimStatus::Conflict, 0, None),
+    };
+    ClaimReply { status: status.into(), attempt, answer }
+}
+
+fn stored_answer(answer: KeptAnswer) -> StoredAnswer {
+    let headers = answer.headers.into_iter();
+    StoredAnswer {
+        status: u32::from(answer.status),
+        headers: headers.map(|h| Header { name: h.name, value: h.value.into() }).collect(),
+        body: answer.body.into(),
+        is_truncated: answer.is_truncated,
+    }
+}
+
+fn kept_answer(answer: StoredAnswer) -> KeptAnswer {
+    let headers = answer.headers.into_iter();
+    KeptAnswer {
+        status: u16::try_from(answer.status).unwrap_or(500),
+        headers: headers.map(|h| KeptHeader { name: h.name, value: h.value.to_vec() }).collect(),
+        body: answer.body.to_vec(),
+        is_truncated: answer.is_truncated,
+    }
+}
--- /dev/null
+++ b/crates/control/src/service/replica_service.rs
@@ -0,0 +1,133 @@
+//! Messages of other replicas.
+
+use std::time::Duration;
+
+use consensus::{Member, ReplicaId};
+use rpc::replica_client::ReplicaClient;
+use rpc::replica_server::Replica;
+use rpc::{
+    DeliverReply, IdentifyRequest, JoinReply, JoinRequest, ReplicaIdentity, ReplicaMember,
+    ReplicaMessage, SyncDirectoryReply, SyncDirectoryRequest,
+};
+use slog::warn;
+use tokio::sync::oneshot;
+use tonic::{Request, Response, Status, Streaming};
+
+use super::Shared;
+use crate::replica::Input;
+
+const JOIN_TIMEOUT: Duration = Duration::from_millis(500);
+
+pub(super) struct ReplicaService {
+    shared: Shared,
+}
+
+impl ReplicaService {
+    pub(super) fn new(shared: Shared) -> Self {
+        Self { shared }
+    }
+
+    #[allow(clippy::result_large_err)] // The signature of tonic's services.
+    fn take(&self, message: ReplicaMessage) -> Result<(), Status> {
+        self.shared.check_cluster(&message.cluster_id)?;
+        if message.to != self.shared.replica.view().id.0 {
+            return Err(Status::not_found("the message is for another replica"));
+        }
+        let decoded = postcard::from_bytes(&message.payload)
+            .map_err(|_| Status::invalid_argument("the message cannot be read"))?;
+        self.shared.replica.input(Input::Message {
+            from: ReplicaId(message.from),
+            from_address: message.from_address,
+            message: decoded,
+        });
+        Ok(())
+    }
+
+    async fn admit(&self, member: ReplicaMember) -> bool {
+        let (reply, answer) = oneshot::channel();
+        let converted = Member {
+            address: member.address,
+            data_centre: member.data_centre,
+            is_voter: false,
+        };
+        let id = ReplicaId(member.replica_id);
+        self.shared.replica.input(Input::Admit { id, member: converted, reply });
+        answer.await.unwrap_or(false)
+    }
+}
+
+#[tonic::async_trait]
+impl Replica for ReplicaService {
+    async fn deliver(
+        &self,
+        request: Request<Streaming<ReplicaMessage>>,
+    ) -> Result<Response<DeliverReply>, Status> {
+        let mut messages = request.into_inner();
+        let mut stop = self.shared.stop.clone();
+        loop {
+            let message = tokio::select! {
+                message = messages.message() => message?,
+                _ = stop.changed() => None,
+            };
+            let Some(message) = message else {
+                return Ok(Response::new(DeliverReply::default()));
+            };
+            if let Err(status) = self.take(message) {
+                warn!(self.shared.log, "message-refused"; "error" => status.message().to_owned());
+                return Err(status);
+            }
+        }
+    }
+
+    async fn identify(
+        &self,
+        request: Request<IdentifyRequest>,
+    ) -> Result<Response<ReplicaIdentity>, Status> {
+        self.shared.check_cluster(&request.into_inner().cluster_id)?;
+        let view = self.shared.replica.view();
+        let members = view.membership.members.iter().map(|(id, member)| ReplicaMember {
+            replica_id: id.0,
+            address: member.address.clone(),
+            data_centre: member.data_centre.clone(),
+            is_voter: member.is_voter,
+        });
+        Ok(Response::new(ReplicaIdentity {
+            replica_id: view.id.0,
+            is_formed: !view.membership.members.is_empty(),
+            members: members.collect(),
+        }))
+    }
+
+    async fn join(&self, request: Request<JoinRequest>) -> Result<Response<JoinReply>, Status> {
+        let request = request.into_inner();
+        self.shared.check_cluster(&request.cluster_id)?;
+        let Some(member) = request.member.clone() else {
+            return Err(Status::invalid_argument("the request names no member"));
+        };
+        match self.shared.leader_channel() {
+            Some(channel) if !request.is_forwarded => {
+                let forwarded = JoinRequest { is_forwarded: true, ..request };
+                let mut client = ReplicaClient::new(channel);
+                let reply = tokio::time::timeout(JOIN_TIMEOUT, client.join(forwarded)).await;
+                reply.unwrap_or_else(|_| Err(Status::unavailable("the leader does not answer")))
+            }
+            _ => Ok(Response::new(JoinReply { is_admitted: self.admit(member).await })),
+        }
+    }
+
+    async fn sync_directory(
+        &self,
+        request: Request<SyncDirectoryRequest>,
+    ) -> Result<Response<SyncDirectoryReply>, Status> {
+        let request = request.into_inner();
+        self.shared.check_cluster(&request.cluster_id)?;
+        let directory = self.shared.directory();
+        let revision = directory.local_revision();
+        if revision == request.known_revision {
+            let reply = SyncDirectoryReply { revision, is_unchanged: true, endpoints: Vec::new() };
+            return Ok(Response::new(reply));
+        }
+        let endpoints = directory.local_endpoints().cloned().collect();
+        Ok(Response::new(SyncDirectoryReply { revision, is_unchanged: false, endpoints }))
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,18 @@
+//! What every heatherweir program shares: settings, logs, signals and the admin listener.
+
+mod admin;
+mod clock;
+mod logs;
+mod settings;
+mod signals;
+
+pub use crate::{
+    admin::{AdminError, AdminReply, AdminServer},
+    clock::Clock,
+    logs::logger,
+    settings::{
+        EXIT_BAD_SETTINGS, check_only_flag, is_check_only, list_flag, optional, required,
+        setting_flag, values,
+    },
+    signals::stop_requested,
+};
--- /dev/null
+++ b/crates/node/src/caller_listener.rs
@@ -0,0 +1,139 @@
+//! Requests of callers from outside.
+
+use std::sync::Arc;
+
+use daemon::Clock;
+use http::{HeaderMap, HeaderValue, Request, Response, header};
+use hyper::body::Incoming;
+use model::{Class, Outcome, Reason, RequestId, headers};
+use policy::US_PER_MS;
+use slog::{Logger, debug};
+
+use crate::answer::{Answer, CallFailure, insert_request_id};
+use crate::body::{AnswerBody, BodyError, CallBody};
+use crate::call::{ActiveCall, CallHead};
+use crate::dispatch::{Dispatcher, OutboundCall};
+use crate::http_listener::Handler;
+use crate::ingress;
+use crate::stats::Counter;
+
+const MAX_KEY_BYTES: usize = 200;
+
+/// Handler of the caller listener.
+pub(crate) struct CallerHandler {
+    log: Logger,
+    dispatcher: Arc<Dispatcher>,
+}
+
+impl CallerHandler {
+    pub(crate) fn new(log: Logger, dispatcher: Arc<Dispatcher>) -> Self {
+        Self { log, dispatcher }
+    }
+
+    async fn answer(
+        &self,
+        request_id: RequestId,
+        request: Request<Incoming>,
+    ) -> Result<Answer, CallFailure> {
+        let refuse = |reason| CallFailure::not_run(reason, 0, None);
+        let (parts, body) = request.into_parts();
+        let service = ingress::announced_service(&self.dispatcher.ingress);
+        let service = service.ok_or_else(|| refuse(Reason::NoUpstream))?;
+        let path = parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
+        let idempotency_key = idempotency_key(&parts.headers).map_err(refuse)?;
+        let mut head = CallHead {
+            request_id,
+            service,
+            method: parts.method,
+            path,
+            headers: self.caller_headers(parts.headers),
+            class: Class::Sheddable,
+            deadline_us: 0,
+            admitted_unix_us: Clock::unix_us(),
+            retry_allowance: 0,
+            idempotency_key,
+            entry_vm: self.dispatcher.vm.name.clone(),
+        };
+        let (route, policy) = self.dispatcher.route(&head).map_err(refuse)?;
+        if route.is_claimed && head.idempotency_key.is_none() {
+            return Err(refuse(Reason::MissingKey));
+        }
+        head.class = route.class;
+        head.deadline_us = self.dispatcher.clock.now_us() + route.deadline_ms * US_PER_MS;
+        head.retry_allowance = policy.allowance;
+        let body = CallBody::read(body, route.max_body_bytes).await.map_err(|error| match error {
+            BodyError::TooLarge => refuse(Reason::BodyTooLarge),
+            _ => refuse(Reason::TruncatedRequest),
+        })?;
+        let parent = Arc::new(ActiveCall::new(&head, 0));
+        self.dispatcher.run(OutboundCall { head, route: policy, parent }, body).await
+    }
+
+    /// Drops headers that callers may not send.
+    fn caller_headers(&self, from: HeaderMap) -> HeaderMap {
+        let mut kept = HeaderMap::with_capacity(from.len());
+        for (name, value) in &from {
+            if headers::is_internal(name.as_str()) {
+                self.dispatcher.stats.add(Counter::ForgedHeaders);
+            } else if !headers::is_hop_by_hop(name.as_str()) && name != header::EXPECT {
+                kept.append(name.clone(), value.clone());
+            }
+        }
+        kept
+    }
+
+    fn count(&self, result: &Result<Answer, CallFailure>) {
+        let counter = match result {
+            Ok(_) => Counter::CallerAnswered,
+            Err(failure) if failure.outcome == Outcome::NotRun => Counter::CallerNotRun,
+            Err(_) => Counter::CallerUnknown,
+        };
+        self.dispatcher.stats.add(counter);
+        if let Err(failure) = result
+            && failure.reason.status() == 400
+        {
+            self.dispatcher.stats.add(Counter::BadInput);
+        }
+    }
+}
+
+impl Handler for CallerHandler {
+    async fn handle(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+        self.dispatcher.stats.add(Counter::CallerRequests);
+        let request_id = RequestId::new(rand::random());
+        let result = self.answer(request_id, request).await;
+        self.count(&result);
+        let mut response = match result {
+            Ok(answer) => into_response(answer, request_id),
+            Err(failure) => {
+                debug!(self.log, "request-failed"; "request" => %request_id,
+                    "reason" => failure.reason.as_str(), "outcome" => failure.outcome.as_str());
+                failure.into_response(request_id)
+            }
+        };
+        if self.dispatcher.ingress.is_leaving() {
+            response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+}
+
+/// Makes the HTTP answer of a call that was answered.
+pub(crate) fn into_response(answer: Answer, request_id: RequestId) -> Response<AnswerBody> {
+    let mut response = Response::new(answer.body);
+    *response.status_mut() = answer.status;
+    *response.headers_mut() = answer.headers;
+    let out = response.headers_mut();
+    out.insert(headers::OUTCOME, HeaderValue::from_static(Outcome::Answered.as_str()));
+    insert_request_id(out, request_id);
+    response
+}
+
+fn idempotency_key(headers: &HeaderMap) -> Result<Option<String>, Reason> {
+    let Some(value) = headers.get(headers::IDEMPOTENCY_KEY) else { return Ok(None) };
+    let key = value.to_str().map_err(|_| Reason::BadRequest)?;
+    if key.is_empty() || key.len() > MAX_KEY_BYTES {
+        return Err(Reason::BadRequest);
+    }
+    Ok(Some(key.to_owned()))
+}
--- /dev/null
+++ b/crates/node/src/dispatch.rs
@@ -0,0 +1,267 @@
+//! Attempts of one call: choice of the node, deadline, retries within the conserved allowance.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use daemon::Clock;
+use model::{Outcome, Reason, Route, Vm, VmName};
+use policy::retry::{self, AttemptLimits, FailedAttempt};
+use policy::routing::{AttemptResult, ReportedLoad};
+use policy::US_PER_MS;
+
+use crate::answer::{Answer, CallFailure, NodeLoad};
+use crate::body::{AnswerBody, CallBody};
+use crate::call::{ActiveCall, CallHead};
+use crate::ingress::Ingress;
+use crate::peer_client::PeerClients;
+use crate::profile_store::ProfileStore;
+use crate::routes::{PeerEndpoint, RouteTable, ServiceRoutes};
+use crate::stats::{Counter, Stats};
+
+/// Parts that every call shares.
+pub(crate) struct Dispatcher {
+    pub(crate) clock: Clock,
+    pub(crate) vm: Vm,
+    pub(crate) ingress: Arc<Ingress>,
+    pub(crate) routes: Arc<RouteTable>,
+    pub(crate) profiles: Arc<ProfileStore>,
+    pub(crate) peers: PeerClients,
+    pub(crate) stats: Arc<Stats>,
+}
+
+/// A call about to be sent.
+pub(crate) struct OutboundCall {
+    pub(crate) head: CallHead,
+    pub(crate) route: RoutePolicy,
+    /// Call of the upstream that this one belongs to; its ledger pays for retries.
+    pub(crate) parent: Arc<ActiveCall>,
+}
+
+/// What the callee's profile says of a call.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct RoutePolicy {
+    pub(crate) is_idempotent: bool,
+    pub(crate) attempt_timeout_us: u64,
+    pub(crate) budget_percent: u32,
+    pub(crate) allowance: u32,
+}
+
+impl Dispatcher {
+    /// Returns the route of a call in its service's profile.
+    pub(crate) fn route(&self, head: &CallHead) -> Result<(Route, RoutePolicy), Reason> {
+        let routes = self.routes.get(&head.service).ok_or(Reason::NoEndpoint)?;
+        let name = routes.profile().ok_or(Reason::NoEndpoint)?;
+        let profile = self.profiles.get(&name).ok_or(Reason::NoProfile)?;
+        let path = head.path.split('?').next().unwrap_or_default();
+        let route = profile.route(head.method.as_str(), path).ok_or(Reason::UnknownRoute)?;
+        let policy = RoutePolicy {
+            is_idempotent: route.is_idempotent,
+            attempt_timeout_us: profile.retries.attempt_timeout_ms * US_PER_MS,
+            budget_percent: profile.retries.budget_percent,
+            allowance: profile.retries.allowance,
+        };
+        Ok((route.clone(), policy))
+    }
+
+    /// Sends a call until it is answered or given up.
+    pub(crate) async fn run(
+        &self,
+        call: OutboundCall,
+        body: CallBody,
+    ) -> Result<Answer, CallFailure> {
+        let Some(routes) = self.routes.get(&call.head.service) else {
+            return Err(CallFailure::not_run(Reason::NoEndpoint, 0, Some(body)));
+        };
+        routes.budget().set_percent(call.route.budget_percent);
+        let mut tried: Vec<VmName> = Vec::new();
+        let mut body = body;
+        loop {
+            let Some(endpoint) = self.choose(&routes, &tried) else {
+                return Err(CallFailure::not_run(Reason::NoEndpoint, 0, Some(body)));
+            };
+            tried.push(endpoint.vm.clone());
+            let failure = match self.attempt(&call, &routes, &endpoint, body).await {
+                Ok(answer) => {
+                    routes.budget().record_success();
+                    return Ok(answer);
+                }
+                Err(failure) => failure,
+            };
+            let is_retried = self.may_retry(&call, &routes, &tried, &failure);
+            body = match (is_retried, failure) {
+                (true, CallFailure { body: Some(next), .. }) => next,
+                (_, failure) => {
+                    call.parent.give_up();
+                    return Err(CallFailure { is_final: true, ..failure });
+                }
+            };
+            self.stats.add(Counter::Retries);
+        }
+    }
+
+    fn choose(&self, routes: &ServiceRoutes, tried: &[VmName]) -> Option<PeerEndpoint> {
+        let vm = routes.router().choose(self.clock.now_us(), tried, rand::random())?;
+        routes.endpoint(&vm)
+    }
+
+    async fn attempt(
+        &self,
+        call: &OutboundCall,
+        routes: &ServiceRoutes,
+        endpoint: &PeerEndpoint,
+        body: CallBody,
+    ) -> Result<Answer, CallFailure> {
+        self.stats.add(Counter::Attempts);
+        let lent = call.parent.ledger().lend();
+        let head = CallHead { retry_allowance: lent, ..call.head.clone() };
+        let started_us = self.clock.now_us();
+        let mut tracker =
+            AttemptTracker { clock: self.clock, routes, vm: &endpoint.vm, is_done: false };
+        let limit = self.attempt_limit(call);
+        let replay = body.replay();
+        let sent = tokio::time::timeout(limit, self.send(endpoint, head, body)).await;
+        let result = sent.unwrap_or_else(|_| {
+            if endpoint.vm != self.vm.name {
+                self.peers.reset(endpoint.address);
+            }
+            Err(CallFailure { body: replay, ..CallFailure::unknown(self.timeout_reason(call)) })
+        });
+        let latency_us = self.clock.now_us().saturating_sub(started_us);
+        tracker.finish(&result, latency_us);
+        match result {
+            Ok(answer) => Ok(settle_allowance(answer, call, lent)),
+            Err(failure) => {
+                call.parent.ledger().give_back(lent, failure.unspent);
+                Err(failure)
+            }
+        }
+    }
+
+    async fn send(
+        &self,
+        endpoint: &PeerEndpoint,
+        head: CallHead,
+        body: CallBody,
+    ) -> Result<Answer, CallFailure> {
+        if endpoint.vm == self.vm.name {
+            return self.ingress.serve(head, body).await;
+        }
+        let left_us = head.deadline_us.saturating_sub(self.clock.now_us());
+        let left = Duration::from_micros(left_us);
+        self.peers.forward(endpoint.address, &head, left, body).await
+    }
+
+    /// An attempt of a call that may not run twice gets all the time there is.
+    fn attempt_limit(&self, call: &OutboundCall) -> Duration {
+        let left_us = call.head.deadline_us.saturating_sub(self.clock.now_us());
+        let limit_us = match call.route.is_idempotent {
+            true => left_us.min(call.route.attempt_timeout_us),
+            false => left_us,
+        };
+        Duration::from_micros(limit_us)
+    }
+
+    fn timeout_reason(&self, call: &OutboundCall) -> Reason {
+        match self.clock.now_us() >= call.head.deadline_us {
+            true => Reason::DeadlineExceeded,
+            false => Reason::AttemptTimeout,
+        }
+    }
+
+    fn may_retry(
+        &self,
+        call: &OutboundCall,
+        routes: &ServiceRoutes,
+        tried: &[VmName],
+        failure: &CallFailure,
+    ) -> bool {
+        let failed = FailedAttempt {
+            outcome: failure.outcome,
+            reason: failure.reason,
+            is_final: failure.is_final,
+            is_replayable: failure.body.is_some(),
+        };
+        let limits = AttemptLimits {
+            is_idempotent: call.route.is_idempotent,
+            remaining_us: call.head.deadline_us.saturating_sub(self.clock.now_us()),
+            untried_endpoints: routes.router().untried(tried),
+        };
+        if !retry::is_worthwhile(failed, limits) || call.parent.ledger().available() == 0 {
+            return false;
+        }
+        if !routes.budget().withdraw() {
+            self.stats.add(Counter::BudgetRefusals);
+            return false;
+        }
+        call.parent.ledger().spend()
+    }
+}
+
+/// Gives the unspent allowance back now, or with the end of a streaming body.
+fn settle_allowance(mut answer: Answer, call: &OutboundCall, lent: u32) -> Answer {
+    match &mut answer.body {
+        AnswerBody::Full(_) => call.parent.ledger().give_back(lent, answer.unspent),
+        AnswerBody::Stream { guard, .. } => {
+            guard.set_lender(Some(Arc::clone(&call.parent)), lent);
+        }
+    }
+    answer
+}
+
+/// Tells routing how an attempt ended, also when its future is dropped.
+struct AttemptTracker<'a> {
+    clock: Clock,
+    routes: &'a ServiceRoutes,
+    vm: &'a VmName,
+    is_done: bool,
+}
+
+impl AttemptTracker<'_> {
+    fn finish(&mut self, result: &Result<Answer, CallFailure>, latency_us: u64) {
+        self.is_done = true;
+        let now_us = self.clock.now_us();
+        let load = match result {
+            Ok(answer) => answer.load,
+            Err(failure) => failure.load,
+        };
+        let ended = match result {
+            Ok(_) => AttemptResult::Answered { latency_us },
+            Err(failure) => attempt_result(failure),
+        };
+        let mut router = self.routes.router();
+        router.finish(now_us, self.vm, ended);
+        if let Some(load) = load {
+            router.report(now_us, self.vm, reported(load));
+            if load.is_leaving {
+                router.mark_leaving(self.vm);
+            }
+        }
+    }
+}
+
+impl Drop for AttemptTracker<'_> {
+    fn drop(&mut self) {
+        if !self.is_done {
+            let now_us = self.clock.now_us();
+            self.routes.router().finish(now_us, self.vm, AttemptResult::Cancelled);
+        }
+    }
+}
+
+/// A node that answers is alive, whatever became of the call at its upstream.
+fn attempt_result(failure: &CallFailure) -> AttemptResult {
+    match (failure.reason, failure.outcome) {
+        (Reason::ConnectFailed | Reason::NoUpstream, _) => AttemptResult::Failed,
+        (Reason::DeadlineExceeded, _) => AttemptResult::Cancelled,
+        (_, Outcome::NotRun) => AttemptResult::Refused,
+        _ => AttemptResult::Failed,
+    }
+}
+
+fn reported(load: NodeLoad) -> ReportedLoad {
+    ReportedLoad {
+        in_flight: load.admission.in_flight,
+        limit: load.admission.limit,
+        queued: load.admission.queued,
+    }
+}
--- /dev/null
+++ b/crates/node/src/http_listener.rs
@@ -0,0 +1,83 @@
+//! HTTP/1.1 listeners with an orderly end.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::server::graceful::GracefulShutdown;
+use slog::{Logger, debug, warn};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use crate::body::AnswerBody;
+
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Answers the requests of one listener.
+pub(crate) trait Handler: Send + Sync + 'static {
+    /// Answers a request. Dropping the future cancels the work.
+    fn handle(
+        &self,
+        request: Request<Incoming>,
+    ) -> impl Future<Output = Response<AnswerBody>> + Send;
+}
+
+/// Accepts connections until told to stop, then waits for the requests in flight.
+pub(crate) async fn serve(
+    log: Logger,
+    listener: TcpListener,
+    handler: Arc<impl Handler>,
+    mut stop: watch::Receiver<bool>,
+) {
+    let graceful = GracefulShutdown::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stop.wait_for(|is_stopping| *is_stopping) => break,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                spawn_connection(&log, stream, Arc::clone(&handler), &graceful);
+            }
+            Err(error) => {
+                warn!(log, "accept-failed"; "error" => %error);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+    drop(listener);
+    graceful.shutdown().await;
+}
+
+fn spawn_connection(
+    log: &Logger,
+    stream: TcpStream,
+    handler: Arc<impl Handler>,
+    graceful: &GracefulShutdown,
+) {
+    // A socket that refuses the option still works, only slower.
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let handler = Arc::clone(&handler);
+        async move { Ok::<_, Infallible>(handler.handle(request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(MAX_HEAD_BYTES)
+        .serve_connection(TokioIo::new(stream), service);
+    let watched = graceful.watch(connection);
+    let log = log.clone();
+    tokio::spawn(async move {
+        if let Err(error) = watched.await {
+            debug!(log, "connection-ended"; "error" => %error);
+        }
+    });
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,30 @@
+//! The process in the slot of an upstream VM.
+//!
+//! Its ingress guards the upstream beside it; its egress routes that upstream's calls; its caller
+//! listener takes requests from outside. One thread keeps in touch with control and publishes
+//! immutable snapshots; the traffic threads only read them.
+
+mod admission_gate;
+mod answer;
+mod body;
+mod call;
+mod caller_listener;
+mod claim_client;
+mod control_link;
+mod dispatch;
+mod egress_listener;
+mod http_listener;
+mod ingress;
+mod peer_client;
+mod peer_service;
+mod profile_store;
+mod routes;
+mod server;
+mod settings;
+mod stats;
+mod upstream_client;
+
+pub use crate::{
+    server::{ServerError, run},
+    settings::{Settings, command},
+};
--- /dev/null
+++ b/crates/node/src/routes.rs
@@ -0,0 +1,148 @@
+//! Endpoints of the services that the node calls.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use arc_swap::ArcSwap;
+use indexmap::IndexMap;
+use model::{DataCentreName, ProfileName, ServiceName, VmName};
+use policy::budget::RetryBudget;
+use policy::routing::{EndpointState, Router};
+use rpc::Endpoint;
+
+/// Budget before a profile is known, in percent.
+const DEFAULT_BUDGET_PERCENT: u32 = 10;
+
+/// Where a node of a service is reached.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct PeerEndpoint {
+    pub(crate) vm: VmName,
+    pub(crate) data_centre: DataCentreName,
+    pub(crate) address: SocketAddr,
+    pub(crate) profile: ProfileName,
+    pub(crate) is_leaving: bool,
+}
+
+/// Endpoints of one service with the state of their choice.
+#[derive(Debug)]
+pub(crate) struct ServiceRoutes {
+    router: Mutex<Router>,
+    budget: Mutex<RetryBudget>,
+    endpoints: ArcSwap<IndexMap<VmName, PeerEndpoint>>,
+}
+
+impl ServiceRoutes {
+    fn new(own_data_centre: &DataCentreName) -> Self {
+        Self {
+            router: Mutex::new(Router::new(own_data_centre.clone())),
+            budget: Mutex::new(RetryBudget::new(DEFAULT_BUDGET_PERCENT)),
+            endpoints: ArcSwap::from_pointee(IndexMap::new()),
+        }
+    }
+
+    pub(crate) fn router(&self) -> MutexGuard<'_, Router> {
+        self.router.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn budget(&self) -> MutexGuard<'_, RetryBudget> {
+        self.budget.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn endpoint(&self, vm: &VmName) -> Option<PeerEndpoint> {
+        self.endpoints.load().get(vm).cloned()
+    }
+
+    /// Returns the profile that the service picked, by its first endpoint.
+    pub(crate) fn profile(&self) -> Option<ProfileName> {
+        self.endpoints.load().values().next().map(|endpoint| endpoint.profile.clone())
+    }
+
+    fn upsert(&self, endpoint: PeerEndpoint) {
+        let state = match endpoint.is_leaving {
+            true => EndpointState::Leaving,
+            false => EndpointState::Serving,
+        };
+        self.router().upsert(&endpoint.vm, &endpoint.data_centre, state);
+        let mut endpoints = IndexMap::clone(&self.endpoints.load());
+        endpoints.insert(endpoint.vm.clone(), endpoint);
+        self.endpoints.store(Arc::new(endpoints));
+    }
+
+    fn remove(&self, vm: &VmName) {
+        if !self.endpoints.load().contains_key(vm) {
+            return;
+        }
+        self.router().remove(vm);
+        let mut endpoints = IndexMap::clone(&self.endpoints.load());
+        endpoints.shift_remove(vm);
+        self.endpoints.store(Arc::new(endpoints));
+    }
+
+    fn vms(&self) -> Vec<VmName> {
+        self.endpoints.load().keys().cloned().collect()
+    }
+}
+
+/// Routes by service. Only the control thread changes them.
+#[derive(Debug)]
+pub(crate) struct RouteTable {
+    own_data_centre: DataCentreName,
+    services: ArcSwap<IndexMap<ServiceName, Arc<ServiceRoutes>>>,
+}
+
+impl RouteTable {
+    pub(crate) fn new(own_data_centre: DataCentreName) -> Self {
+        Self { own_data_centre, services: ArcSwap::from_pointee(IndexMap::new()) }
+    }
+
+    pub(crate) fn get(&self, service: &ServiceName) -> Option<Arc<ServiceRoutes>> {
+        self.services.load().get(service).cloned()
+    }
+
+    /// Takes an endpoint of control into account; an unusable one is ignored.
+    pub(crate) fn upsert(&self, endpoint: &Endpoint) {
+        let Some((service, endpoint)) = to_peer(endpoint) else { return };
+        self.service(&service).upsert(endpoint);
+    }
+
+    pub(crate) fn remove(&self, vm: &str) {
+        let Ok(vm) = VmName::new(vm) else { return };
+        for routes in self.services.load().values() {
+            routes.remove(&vm);
+        }
+    }
+
+    /// Drops every endpoint that a full list does not name.
+    pub(crate) fn retain(&self, listed: &[Endpoint]) {
+        for routes in self.services.load().values() {
+            for vm in routes.vms() {
+                if !listed.iter().any(|endpoint| endpoint.vm == vm.as_str()) {
+                    routes.remove(&vm);
+                }
+            }
+        }
+    }
+
+    fn service(&self, service: &ServiceName) -> Arc<ServiceRoutes> {
+        if let Some(routes) = self.get(service) {
+            return routes;
+        }
+        let routes = Arc::new(ServiceRoutes::new(&self.own_data_centre));
+        let mut services = IndexMap::clone(&self.services.load());
+        services.insert(service.clone(), Arc::clone(&routes));
+        self.services.store(Arc::new(services));
+        routes
+    }
+}
+
+fn to_peer(endpoint: &Endpoint) -> Option<(ServiceName, PeerEndpoint)> {
+    let service = ServiceName::new(&endpoint.service).ok()?;
+    let peer = PeerEndpoint {
+        vm: VmName::new(&endpoint.vm).ok()?,
+        data_centre: DataCentreName::new(&endpoint.data_centre).ok()?,
+        address: endpoint.peer_address.parse().ok()?,
+        profile: ProfileName::new(&endpoint.profile).ok()?,
+        is_leaving: endpoint.is_leaving,
+    };
+    Some((service, peer))
+}
--- /dev/null
+++ b/crates/node/src/server.rs
@@ -0,0 +1,210 @@
+//! The program: listeners, the control thread and an orderly end.
+
+use std::io;
+use std::sync::Arc;
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+use daemon::{AdminError, AdminReply, AdminServer, Clock};
+use quick_error::quick_error;
+use rpc::peer_server::PeerServer;
+use slog::{Logger, info};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::transport::Server;
+
+use crate::caller_listener::CallerHandler;
+use crate::claim_client::ClaimClient;
+use crate::control_link::ControlLink;
+use crate::dispatch::Dispatcher;
+use crate::egress_listener::EgressHandler;
+use crate::http_listener;
+use crate::ingress::{Ingress, IngressParts};
+use crate::peer_client::PeerClients;
+use crate::peer_service::PeerService;
+use crate::profile_store::ProfileStore;
+use crate::routes::RouteTable;
+use crate::settings::Settings;
+use crate::stats::{self, Stats, StatsError};
+
+/// Time in which everyone learns that the node is leaving, before it closes its listeners.
+const LEAVE_NOTICE: Duration = Duration::from_secs(2);
+const PING_INTERVAL: Duration = Duration::from_secs(1);
+const PING_TIMEOUT: Duration = Duration::from_secs(1);
+const WINDOW_BYTES: u32 = 4 * 1024 * 1024;
+
+quick_error! {
+    /// Failure that ends the program.
+    #[derive(Debug)]
+    pub enum ServerError {
+        /// A listener cannot be opened or a thread not be started.
+        Io(source: io::Error) {
+            display("{}", source)
+            from()
+        }
+        /// The admin listener cannot be opened.
+        Admin(source: AdminError) {
+            display("{}", source)
+            from()
+        }
+        /// The metrics cannot be sent.
+        Stats(source: StatsError) {
+            display("{}", source)
+            from()
+        }
+        /// The node listener failed.
+        Transport(source: tonic::transport::Error) {
+            display("{}", source)
+            from()
+        }
+        /// A task ended abnormally.
+        Task(source: tokio::task::JoinError) {
+            display("{}", source)
+            from()
+        }
+    }
+}
+
+/// Runs a node until it is told to stop.
+///
+/// # Errors
+///
+/// Returns an error if a listener cannot be opened or fails.
+pub async fn run(log: Logger, settings: Settings) -> Result<(), ServerError> {
+    let callers = TcpListener::bind(settings.caller_listen).await?;
+    let egress = TcpListener::bind(settings.egress_listen).await?;
+    let peers = TcpListener::bind(settings.peer_listen).await?;
+    let dispatcher = dispatcher(&log, &settings)?;
+    if let Some(statsd) = settings.statsd {
+        stats::start_sender(Arc::clone(&dispatcher.stats), statsd)?;
+    }
+    let (announced, announcements) = watch::channel(0);
+    let (stop_control, control_stop) = watch::channel(false);
+    let (stop_traffic, traffic_stop) = watch::channel(false);
+    let admin = start_admin(&settings, &dispatcher)?;
+    info!(log, "node-started"; "vm" => %settings.vm.name,
+        "data_centre" => %settings.vm.data_centre, "callers" => %callers.local_addr()?,
+        "egress" => %egress.local_addr()?, "peers" => %peers.local_addr()?,
+        "admin" => %admin.address());
+    let link = ControlLink::new(
+        log.clone(),
+        settings.clone(),
+        Arc::clone(&dispatcher),
+        announcements,
+        control_stop,
+    );
+    let control = start_control(link)?;
+
+    let caller_handler = Arc::new(CallerHandler::new(log.clone(), Arc::clone(&dispatcher)));
+    let egress_handler =
+        EgressHandler::new(log.clone(), Arc::clone(&dispatcher), announced.clone());
+    let caller_task = tokio::spawn(http_listener::serve(
+        log.clone(),
+        callers,
+        caller_handler,
+        traffic_stop.clone(),
+    ));
+    let egress_task = tokio::spawn(http_listener::serve(
+        log.clone(),
+        egress,
+        Arc::new(egress_handler),
+        traffic_stop.clone(),
+    ));
+    let peer_task = tokio::spawn(serve_peers(peers, Arc::clone(&dispatcher), traffic_stop));
+
+    daemon::stop_requested().await?;
+    info!(log, "stop-requested");
+    dispatcher.ingress.leave();
+    announced.send_modify(|count| *count += 1);
+    tokio::time::sleep(LEAVE_NOTICE).await;
+    let _ = stop_traffic.send(true);
+    caller_task.await?;
+    peer_task.await??;
+    egress_task.await?;
+    dispatcher.ingress.finish_settlements().await;
+    let _ = stop_control.send(true);
+    let _ = tokio::task::spawn_blocking(move || control.join()).await;
+    info!(log, "node-stopped");
+    drop(admin);
+    Ok(())
+}
+
+fn dispatcher(log: &Logger, settings: &Settings) -> Result<Arc<Dispatcher>, ServerError> {
+    let clock = Clock::new();
+    let stats = Arc::new(Stats::new());
+    let profiles = Arc::new(ProfileStore::new(log.clone()));
+    let claims = ClaimClient::new(&settings.controls)?;
+    let ingress = Arc::new(Ingress::new(IngressParts {
+        clock,
+        profiles: Arc::clone(&profiles),
+        stats: Arc::clone(&stats),
+        claims,
+    }));
+    let routes = Arc::new(RouteTable::new(settings.vm.data_centre.clone()));
+    let vm = settings.vm.clone();
+    let peers = PeerClients::default();
+    Ok(Arc::new(Dispatcher { clock, vm, ingress, routes, profiles, peers, stats }))
+}
+
+fn start_control(link: ControlLink) -> io::Result<JoinHandle<()>> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let thread = thread::Builder::new().name("control".to_owned());
+    thread.spawn(move || runtime.block_on(link.run()))
+}
+
+fn start_admin(
+    settings: &Settings,
+    dispatcher: &Arc<Dispatcher>,
+) -> Result<AdminServer, ServerError> {
+    let dispatcher = Arc::clone(dispatcher);
+    let handler = move |method: &str, path: &str, _body: &str| match (method, path) {
+        ("GET", "/status") => AdminReply::json(200, status_json(&dispatcher).to_string()),
+        _ => AdminReply::not_found(),
+    };
+    Ok(AdminServer::start(settings.admin_listen, handler)?)
+}
+
+fn status_json(dispatcher: &Dispatcher) -> serde_json::Value {
+    let load = dispatcher.ingress.load();
+    let upstream = dispatcher.ingress.upstream();
+    serde_json::json!({
+        "vm": dispatcher.vm.name.as_str(),
+        "data_centre": dispatcher.vm.data_centre.as_str(),
+        "service": upstream.as_ref().map(|u| u.announcement.service.to_string()),
+        "profile": upstream.as_ref().map(|u| u.announcement.profile.to_string()),
+        "profile_revision": dispatcher.profiles.revision(),
+        "is_leaving": load.is_leaving,
+        "in_flight": load.admission.in_flight,
+        "limit": load.admission.limit,
+        "queued": load.admission.queued,
+        "shed_level": load.shed_level,
+        "counters": dispatcher.stats.to_json(),
+    })
+}
+
+async fn serve_peers(
+    listener: TcpListener,
+    dispatcher: Arc<Dispatcher>,
+    mut stop: watch::Receiver<bool>,
+) -> Result<(), tonic::transport::Error> {
+    let service = PeerService::new(
+        dispatcher.clock,
+        Arc::clone(&dispatcher.ingress),
+        Arc::clone(&dispatcher.profiles),
+    );
+    let service = PeerServer::new(service)
+        .max_decoding_message_size(usize::MAX)
+        .max_encoding_message_size(usize::MAX);
+    Server::builder()
+        .http2_keepalive_interval(Some(PING_INTERVAL))
+        .http2_keepalive_timeout(Some(PING_TIMEOUT))
+        .initial_stream_window_size(WINDOW_BYTES)
+        .initial_connection_window_size(WINDOW_BYTES * 4)
+        .tcp_nodelay(true)
+        .add_service(service)
+        .serve_with_incoming_shutdown(TcpListenerStream::new(listener), async move {
+            let _ = stop.wait_for(|is_stopping| *is_stopping).await;
+        })
+        .await
+}
--- /dev/null
+++ b/crates/node/src/stats.rs
@@ -0,0 +1,140 @@
+//! Counts of one node, sent to statsd once a second.
+
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use cadence::{Counted, StatsdClient, UdpMetricSink};
+use quick_error::quick_error;
+
+const SEND_INTERVAL: Duration = Duration::from_secs(1);
+const PREFIX: &str = "heatherweir.node";
+
+quick_error! {
+    /// Failure to send metrics.
+    #[derive(Debug)]
+    pub enum StatsError {
+        /// The socket cannot be opened.
+        Socket(source: std::io::Error) {
+            display("statsd socket: {}", source)
+            from()
+        }
+        /// The address cannot be used.
+        Sink(source: cadence::MetricError) {
+            display("statsd: {}", source)
+            from()
+        }
+    }
+}
+
+macro_rules! counters {
+    ($($(#[$doc:meta])* $name:ident = $metric:literal;)*) => {
+        /// What a node counts.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+        pub(crate) enum Counter {
+            $($(#[$doc])* $name,)*
+        }
+
+        impl Counter {
+            pub(crate) const ALL: &[Counter] = &[$(Counter::$name),*];
+
+            /// Returns the name of the metric.
+            pub(crate) fn as_str(self) -> &'static str {
+                match self {
+                    $(Counter::$name => $metric,)*
+                }
+            }
+        }
+    };
+}
+
+counters! {
+    /// Requests that callers sent.
+    CallerRequests = "caller.requests";
+    /// Requests of callers that got an upstream's answer.
+    CallerAnswered = "caller.answered";
+    /// Requests of callers that were told they did not run.
+    CallerNotRun = "caller.not_run";
+    /// Requests of callers whose outcome is unknown.
+    CallerUnknown = "caller.unknown";
+    /// Internal headers that callers sent and that were dropped.
+    ForgedHeaders = "caller.forged_headers";
+    /// Calls of the upstream beside the node.
+    EgressCalls = "egress.calls";
+    /// Calls of the upstream without a context.
+    EgressOrphans = "egress.orphans";
+    /// Calls refused for malformed input.
+    BadInput = "input.bad";
+    /// Attempts sent to nodes, own one included.
+    Attempts = "dispatch.attempts";
+    /// Attempts after the first one of a call.
+    Retries = "dispatch.retries";
+    /// Retries that the budget refused.
+    BudgetRefusals = "dispatch.budget_refusals";
+    /// Calls dispatched to the upstream beside the node.
+    IngressDispatched = "ingress.dispatched";
+    /// Calls refused before dispatch.
+    IngressRefused = "ingress.refused";
+    /// Claims granted.
+    ClaimsGranted = "claims.granted";
+    /// Claims refused for want of a quorum.
+    ClaimsNoQuorum = "claims.no_quorum";
+}
+
+/// Counts of one node.
+#[derive(Debug)]
+pub(crate) struct Stats {
+    values: Vec<AtomicU64>,
+}
+
+impl Stats {
+    pub(crate) fn new() -> Self {
+        Self { values: Counter::ALL.iter().map(|_| AtomicU64::new(0)).collect() }
+    }
+
+    pub(crate) fn add(&self, counter: Counter) {
+        self.values[counter as usize].fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn get(&self, counter: Counter) -> u64 {
+        self.values[counter as usize].load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn to_json(&self) -> serde_json::Value {
+        let entries = Counter::ALL.iter().map(|&c| (c.as_str().to_owned(), self.get(c).into()));
+        serde_json::Value::Object(entries.collect())
+    }
+}
+
+/// Starts the thread that sends the counts.
+///
+/// # Errors
+///
+/// Returns an error if the socket or the thread cannot be made.
+pub(crate) fn start_sender(stats: Arc<Stats>, statsd: SocketAddr) -> Result<(), StatsError> {
+    let local: SocketAddr = match statsd {
+        SocketAddr::V4(_) => (std::net::Ipv4Addr::UNSPECIFIED, 0).into(),
+        SocketAddr::V6(_) => (std::net::Ipv6Addr::UNSPECIFIED, 0).into(),
+    };
+    let socket = UdpSocket::bind(local)?;
+    socket.set_nonblocking(true)?;
+    let client = StatsdClient::from_sink(PREFIX, UdpMetricSink::from(statsd, socket)?);
+    thread::Builder::new().name("metrics".to_owned()).spawn(move || {
+        let mut sent: Vec<u64> = vec![0; Counter::ALL.len()];
+        loop {
+            thread::sleep(SEND_INTERVAL);
+            for (&counter, sent) in Counter::ALL.iter().zip(&mut sent) {
+                let value = stats.get(counter);
+                let delta = i64::try_from(value - *sent).unwrap_or(i64::MAX);
+                *sent = value;
+                if delta > 0 {
+                    // A lost datagram is a lost sample; statsd offers no more.
+                    let _ = client.count(counter.as_str(), delta);
+                }
+            }
+        }
+    })?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/node/src/upstream_client.rs
@@ -0,0 +1,69 @@
+//! Calls to the upstream beside the node: no redirect, no silent retry.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http::{HeaderValue, Request, Response, header};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use quick_error::quick_error;
+
+use crate::body::UpstreamRequestBody;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
+
+quick_error! {
+    /// A call to the upstream without an answer.
+    #[derive(Debug)]
+    pub enum UpstreamError {
+        /// No connection could be made, so the call did not run.
+        Connect {
+            display("no connection to the upstream")
+        }
+        /// The connection broke after the call may have reached the upstream.
+        Broken {
+            display("the connection to the upstream broke")
+        }
+    }
+}
+
+/// Pool of connections to upstreams.
+#[derive(Clone)]
+pub(crate) struct UpstreamClient {
+    client: Client<HttpConnector, UpstreamRequestBody>,
+}
+
+impl UpstreamClient {
+    pub(crate) fn new() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        let client = Client::builder(TokioExecutor::new())
+            .retry_canceled_requests(false)
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            .pool_timer(TokioTimer::new())
+            .build(connector);
+        Self { client }
+    }
+
+    /// Sends a request. Dropping the future closes its connection, which cancels the work.
+    pub(crate) async fn send(
+        &self,
+        address: SocketAddr,
+        mut request: Request<UpstreamRequestBody>,
+    ) -> Result<Response<Incoming>, UpstreamError> {
+        let path = request.uri().path_and_query().map_or("/", |path| path.as_str());
+        let uri = format!("http://{address}{path}");
+        *request.uri_mut() = uri.parse().map_err(|_| UpstreamError::Connect)?;
+        if let Ok(host) = HeaderValue::try_from(address.to_string()) {
+            request.headers_mut().insert(header::HOST, host);
+        }
+        self.client.request(request).await.map_err(|error| match error.is_connect() {
+            true => UpstreamError::Connect,
+            false => UpstreamError::Broken,
+        })
+    }
+}
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,19 @@
+//! Every decision of heatherweir, without I/O.
+//!
+//! Inputs and a time in microseconds go in, decisions come out. Nothing here reads a clock, starts a
+//! thread, opens a socket or draws a random number, so any harness can drive it.
+
+pub mod admission;
+pub mod allowance;
+pub mod budget;
+pub mod limit;
+pub mod quarantine;
+pub mod retry;
+pub mod retry_after;
+pub mod routing;
+pub mod shed;
+
+/// Microseconds in a millisecond.
+pub const US_PER_MS: u64 = 1_000;
+/// Microseconds in a second.
+pub const US_PER_S: u64 = 1_000_000;
--- /dev/null
+++ b/crates/policy/src/retry_after.rs
@@ -0,0 +1,18 @@
+//! When a refused caller is told to come back.
+
+use crate::US_PER_MS;
+
+/// Shortest advice, in microseconds.
+const MIN_US: u64 = 200 * US_PER_MS;
+/// Longest advice, in microseconds.
+const MAX_US: u64 = 10_000 * US_PER_MS;
+
+/// Spreads returns over a window that grows with the share of refused calls.
+///
+/// `pressure` is the ratio of offered to admitted calls, one when nothing is refused. `random` is a
+/// uniform draw over all values of `u32`.
+pub fn advise_us(pressure: f64, random: u32) -> u64 {
+    let window_us = (MIN_US as f64 * pressure.max(1.0) * 2.0).min(MAX_US as f64);
+    let draw = f64::from(random) / f64::from(u32::MAX);
+    MIN_US + (draw * window_us) as u64
+}
--- /dev/null
+++ b/crates/policy/src/routing.rs
@@ -0,0 +1,278 @@
+//! Choice of the node that runs a call.
+//!
+//! Power of two choices over fresh signals, own data centre first, spilling over by load. Health is
+//! judged from one's own calls; no more than a share of the endpoints is ejected, and an ejected one
+//! is probed with single calls.
+
+use indexmap::IndexMap;
+use model::{DataCentreName, VmName};
+
+use crate::{US_PER_MS, US_PER_S};
+
+/// Failures in a row after which an endpoint is ejected.
+const FAILURES_TO_EJECT: u32 = 3;
+/// First ejection, in microseconds; doubles with each further one.
+const EJECT_US: u64 = 500 * US_PER_MS;
+/// Longest ejection, in microseconds.
+const MAX_EJECT_US: u64 = 8 * US_PER_S;
+/// One ejected endpoint is allowed for so many endpoints, at least one when there are two.
+const ENDPOINTS_PER_EJECTION: usize = 2;
+/// Age after which a reported load no longer counts, in microseconds.
+const REPORT_TTL_US: u64 = US_PER_S;
+/// Utilization above which calls spill over to another data centre.
+const SPILL_UTILIZATION: f64 = 0.9;
+/// Added to the utilization of an endpoint in another data centre.
+const REMOTE_PENALTY: f64 = 0.2;
+/// Limit assumed before an endpoint has reported one.
+const DEFAULT_LIMIT: u32 = 16;
+/// Pause after a refusal before the endpoint is preferred again, in microseconds.
+const REFUSAL_BACKOFF_US: u64 = 20 * US_PER_MS;
+
+/// Load as an endpoint reported it with an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReportedLoad {
+    /// Calls running at the endpoint.
+    pub in_flight: u32,
+    /// Calls that it allows at once.
+    pub limit: u32,
+    /// Calls waiting there.
+    pub queued: u32,
+}
+
+/// How an attempt ended, as routing sees it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AttemptResult {
+    /// The endpoint answered.
+    Answered {
+        /// Time of the attempt, in microseconds.
+        latency_us: u64,
+    },
+    /// The endpoint refused the call.
+    Refused,
+    /// The endpoint failed or did not answer in time.
+    Failed,
+    /// The caller gave up first.
+    Cancelled,
+}
+
+#[derive(Debug)]
+struct Candidate {
+    data_centre: DataCentreName,
+    is_leaving: bool,
+    own_in_flight: u32,
+    report: Option<(u64, ReportedLoad)>,
+    mean_latency_us: f64,
+    failures_in_row: u32,
+    ejections: u32,
+    ejected_until_us: u64,
+    refused_until_us: u64,
+    is_probing: bool,
+}
+
+impl Candidate {
+    fn new(data_centre: DataCentreName) -> Self {
+        Self {
+            data_centre,
+            is_leaving: false,
+            own_in_flight: 0,
+            report: None,
+            mean_latency_us: 0.0,
+            failures_in_row: 0,
+            ejections: 0,
+            ejected_until_us: 0,
+            refused_until_us: 0,
+            is_probing: false,
+        }
+    }
+
+    fn utilization(&self, now_us: u64) -> f64 {
+        let backoff = if now_us < self.refused_until_us { 1.0 } else { 0.0 };
+        let own = f64::from(self.own_in_flight + 1);
+        let Some((at_us, load)) = self.report else {
+            return backoff + own / f64::from(DEFAULT_LIMIT);
+        };
+        let limit = f64::from(load.limit.max(1));
+        let is_fresh = now_us.saturating_sub(at_us) < REPORT_TTL_US;
+        let others = if is_fresh { f64::from(load.in_flight + load.queued) } else { 0.0 };
+        backoff + own.max(others) / limit
+    }
+
+    fn is_ejected(&self, now_us: u64) -> bool {
+        self.ejections > 0 && (now_us < self.ejected_until_us || self.is_probing)
+    }
+
+    fn wants_probe(&self, now_us: u64) -> bool {
+        self.ejections > 0 && now_us >= self.ejected_until_us && !self.is_probing
+    }
+}
+
+/// Endpoints of one service, as one node sees them.
+#[derive(Debug)]
+pub struct Router {
+    own_data_centre: DataCentreName,
+    candidates: IndexMap<VmName, Candidate>,
+}
+
+impl Router {
+    /// Starts without endpoints.
+    pub fn new(own_data_centre: DataCentreName) -> Self {
+        Self { own_data_centre, candidates: IndexMap::new() }
+    }
+
+    /// Adds an endpoint or updates whether it is leaving.
+    pub fn upsert(&mut self, vm: &VmName, data_centre: &DataCentreName, state: EndpointState) {
+        let candidate = self
+            .candidates
+            .entry(vm.clone())
+            .or_insert_with(|| Candidate::new(data_centre.clone()));
+        candidate.is_leaving = state == EndpointState::Leaving;
+    }
+
+    /// Removes an endpoint.
+    pub fn remove(&mut self, vm: &VmName) {
+        self.candidates.shift_remove(vm);
+    }
+
+    /// Returns the endpoints that are not leaving.
+    pub fn len(&self) -> usize {
+        self.candidates.values().filter(|candidate| !candidate.is_leaving).count()
+    }
+
+    /// Returns whether there is no endpoint to choose.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Returns the endpoints that a call has not tried.
+    pub fn untried(&self, tried: &[VmName]) -> usize {
+        let is_untried =
+            |(vm, candidate): &(&VmName, &Candidate)| !candidate.is_leaving && !tried.contains(vm);
+        self.candidates.iter().filter(is_untried).count()
+    }
+
+    /// Chooses an endpoint and counts the attempt against it.
+    ///
+    /// `random` is a uniform draw. Returns nothing when every endpoint was tried or is leaving.
+    pub fn choose(&mut self, now_us: u64, tried: &[VmName], random: u64) -> Option<VmName> {
+        let probe = self.due_probe(now_us, tried);
+        let index = match probe {
+            Some(index) => index,
+            None => self.choose_healthy(now_us, tried, random)?,
+        };
+        let (vm, candidate) = self.candidates.get_index_mut(index)?;
+        candidate.own_in_flight += 1;
+        if candidate.ejections > 0 {
+            candidate.is_probing = true;
+        }
+        Some(vm.clone())
+    }
+
+    /// Takes the end of an attempt into account.
+    pub fn finish(&mut self, now_us: u64, vm: &VmName, result: AttemptResult) {
+        let max_ejected = (self.candidates.len() / ENDPOINTS_PER_EJECTION).max(1);
+        let ejected = self.candidates.values().filter(|c| c.is_ejected(now_us)).count();
+        let Some(candidate) = self.candidates.get_mut(vm) else { return };
+        candidate.own_in_flight = candidate.own_in_flight.saturating_sub(1);
+        candidate.is_probing = false;
+        match result {
+            AttemptResult::Answered { latency_us } => {
+                const SMOOTHING: f64 = 0.2;
+                let sample = latency_us as f64;
+                candidate.mean_latency_us += SMOOTHING * (sample - candidate.mean_latency_us);
+                candidate.failures_in_row = 0;
+                candidate.ejections = 0;
+            }
+            AttemptResult::Refused => {
+                candidate.refused_until_us = now_us + REFUSAL_BACKOFF_US;
+                candidate.failures_in_row = 0;
+                candidate.ejections = 0;
+            }
+            AttemptResult::Failed => {
+                candidate.failures_in_row += 1;
+                let may_eject = candidate.ejections > 0 || ejected < max_ejected;
+                if candidate.failures_in_row >= FAILURES_TO_EJECT && may_eject {
+                    let factor = 1 << candidate.ejections.min(6);
+                    candidate.ejected_until_us = now_us + (EJECT_US * factor).min(MAX_EJECT_US);
+                    candidate.ejections += 1;
+                }
+            }
+            AttemptResult::Cancelled => {}
+        }
+    }
+
+    /// Takes the load reported with an answer into account.
+    pub fn report(&mut self, now_us: u64, vm: &VmName, load: ReportedLoad) {
+        if let Some(candidate) = self.candidates.get_mut(vm) {
+            candidate.report = Some((now_us, load));
+        }
+    }
+
+    /// Marks an endpoint as leaving, as it said itself with an answer.
+    pub fn mark_leaving(&mut self, vm: &VmName) {
+        if let Some(candidate) = self.candidates.get_mut(vm) {
+            candidate.is_leaving = true;
+        }
+    }
+
+    fn due_probe(&self, now_us: u64, tried: &[VmName]) -> Option<usize> {
+        // Only a first attempt probes, so that a probe never costs a request its last retry.
+        if !tried.is_empty() {
+            return None;
+        }
+        let wants = |c: &Candidate| !c.is_leaving && c.wants_probe(now_us);
+        self.candidates.values().position(wants)
+    }
+
+    fn choose_healthy(&self, now_us: u64, tried: &[VmName], random: u64) -> Option<usize> {
+        let mut local = Vec::new();
+        let mut remote = Vec::new();
+        let mut ejected = Vec::new();
+        for (index, (vm, candidate)) in self.candidates.iter().enumerate() {
+            if candidate.is_leaving || tried.contains(vm) {
+                continue;
+            }
+            if candidate.is_ejected(now_us) {
+                ejected.push(index);
+            } else if candidate.data_centre == self.own_data_centre {
+                local.push(index);
+            } else {
+                remote.push(index);
+            }
+        }
+        let local = self.better_of_two(now_us, &local, random);
+        let remote = self.better_of_two(now_us, &remote, random.rotate_left(32));
+        match (local, remote) {
+            (Some(local), Some(remote)) => Some(self.spill(now_us, local, remote)),
+            (Some(index), None) | (None, Some(index)) => Some(index),
+            (None, None) => self.better_of_two(now_us, &ejected, random),
+        }
+    }
+
+    fn spill(&self, now_us: u64, local: usize, remote: usize) -> usize {
+        let local_load = self.candidates[local].utilization(now_us);
+        let remote_load = self.candidates[remote].utilization(now_us) + REMOTE_PENALTY;
+        if local_load > SPILL_UTILIZATION && remote_load < local_load { remote } else { local }
+    }
+
+    fn better_of_two(&self, now_us: u64, group: &[usize], random: u64) -> Option<usize> {
+        let count = group.len() as u64;
+        if count < 2 {
+            return group.first().copied();
+        }
+        let first = random % count;
+        let second = (first + 1 + (random >> 32) % (count - 1)) % count;
+        let (first, second) = (group[first as usize], group[second as usize]);
+        let is_second_better = self.candidates[second].utilization(now_us)
+            < self.candidates[first].utilization(now_us);
+        Some(if is_second_better { second } else { first })
+    }
+}
+
+/// Whether an endpoint takes new work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndpointState {
+    /// The endpoint takes new work.
+    Serving,
+    /// The endpoint ends its work and leaves.
+    Leaving,
+}
--- /dev/null
+++ b/crates/rpc/src/lib.rs
@@ -0,0 +1,11 @@
+//! Messages and services between heatherweir's own processes.
+//!
+//! The code in `generated` comes from `proto/heatherweir.proto`; `cargo xtask codegen` remakes it.
+
+#[allow(missing_docs, clippy::all)]
+mod generated;
+
+pub use generated::*;
+
+/// Version of the inner protocols; peers with another version are refused.
+pub const PROTOCOL_VERSION: u32 = 1;
