--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -41,7 +41,7 @@
     /// Returns the entries from `start`, at most `limit` of them.
     pub(crate) fn slice(&self, start: Index, limit: usize) -> &[Entry] {
         let from = (start.saturating_sub(self.snapshot.index + 1) as usize).min(self.entries.len());
-        let to = (from + limit).min(self.entries.len());
+        let to = from.saturating_add(limit).min(self.entries.len());
         &self.entries[from..to]
     }
 
--- a/crates/consensus/src/raft.rs
+++ b/crates/consensus/src/raft.rs
@@ -482,8 +482,7 @@
     }
 
     fn count_pre_vote(&mut self, now_us: u64, from: ReplicaId, next_term: Term, granted: bool) {
-        let is_current =
-            self.role == Role::PreCandidate && next_term == self.hard_state.term + 1;
+        let is_current = self.role == Role::PreCandidate && next_term == self.hard_state.term + 1;
         if is_current && granted && self.membership().is_voter(from) {
             self.votes.insert(from);
             self.campaign_if_won(now_us);
@@ -495,8 +494,7 @@
             Some(id) => id == from,
             None => self.role != Role::Leader,
         };
-        let is_granted =
-            term == self.hard_state.term && can_vote && self.is_up_to_date(last);
+        let is_granted = term == self.hard_state.term && can_vote && self.is_up_to_date(last);
         if is_granted {
             self.hard_state.voted_for = Some(from);
             self.reset_election_timer(now_us);
@@ -558,7 +556,9 @@
 
     fn take_append_reply(&mut self, now_us: u64, from: ReplicaId, is_match: bool, index: Index) {
         let last_index = self.log.last_index();
-        let Some(progress) = self.progress.get_mut(&from) else { return };
+        let Some(progress) = self.progress.get_mut(&from) else {
+            return;
+        };
         progress.last_contact_us = now_us;
         progress.is_paused = false;
         if is_match {
@@ -578,13 +578,7 @@
         }
     }
 
-    fn take_chunk(
-        &mut self,
-        from: ReplicaId,
-        chunk: Snapshot,
-        offset_bytes: u64,
-        is_last: bool,
-    ) {
+    fn take_chunk(&mut self, from: ReplicaId, chunk: Snapshot, offset_bytes: u64, is_last: bool) {
         let term = self.hard_state.term;
         if chunk.index <= self.commit_index {
             let index = self.commit_index;
@@ -625,9 +619,13 @@
         index: Index,
         received_bytes: u64,
     ) {
-        let Some(progress) = self.progress.get_mut(&from) else { return };
+        let Some(progress) = self.progress.get_mut(&from) else {
+            return;
+        };
         progress.last_contact_us = now_us;
-        let Some(transfer) = &mut progress.snapshot else { return };
+        let Some(transfer) = &mut progress.snapshot else {
+            return;
+        };
         if transfer.index == index {
             transfer.sent_bytes = received_bytes;
             self.send_chunk(from);
@@ -683,7 +681,9 @@
     fn replicate(&mut self, to: ReplicaId) {
         let term = self.hard_state.term;
         let commit_index = self.commit_index;
-        let Some(progress) = self.progress.get_mut(&to) else { return };
+        let Some(progress) = self.progress.get_mut(&to) else {
+            return;
+        };
         let prev_index = progress.next_index - 1;
         let Some(prev_term) = self.log.term_at(prev_index) else {
             self.start_snapshot(to);
@@ -699,7 +699,9 @@
 
     fn start_snapshot(&mut self, to: ReplicaId) {
         let index = self.log.snapshot().index;
-        let Some(progress) = self.progress.get_mut(&to) else { return };
+        let Some(progress) = self.progress.get_mut(&to) else {
+            return;
+        };
         let is_running = progress.snapshot.is_some_and(|transfer| transfer.index == index);
         if !is_running {
             progress.snapshot = Some(SnapshotTransfer { index, sent_bytes: 0 });
@@ -709,8 +711,12 @@
 
     fn send_chunk(&mut self, to: ReplicaId) {
         let snapshot = self.log.snapshot();
-        let Some(progress) = self.progress.get(&to) else { return };
-        let Some(transfer) = progress.snapshot else { return };
+        let Some(progress) = self.progress.get(&to) else {
+            return;
+        };
+        let Some(transfer) = progress.snapshot else {
+            return;
+        };
         if transfer.index != snapshot.index {
             // The snapshot moved on; the next heartbeat starts with the new one.
             return;
@@ -733,7 +739,9 @@
         let matched = |id: ReplicaId| self.progress.get(&id).map_or(0, |p| p.match_index);
         let mut matches: Vec<Index> = self.membership().voters().map(matched).collect();
         matches.sort_unstable_by(|a, b| b.cmp(a));
-        let Some(&quorum_index) = matches.get(self.membership().quorum() - 1) else { return };
+        let Some(&quorum_index) = matches.get(self.membership().quorum() - 1) else {
+            return;
+        };
         let is_own_term = self.log.term_at(quorum_index) == Some(self.hard_state.term);
         if quorum_index <= self.commit_index || !is_own_term {
             return;
--- a/crates/control/src/claims.rs
+++ b/crates/control/src/claims.rs
@@ -127,6 +127,19 @@
         self.records.is_empty()
     }
 
+    /// Returns what is certain of a claim without applying anything, as without a quorum.
+    pub fn lookup(&self, key: &ClaimKey, holder: u64) -> Option<ClaimResult> {
+        let record = self.records.get(key)?;
+        match &record.state {
+            ClaimState::Running { holder: current, .. } if *current == holder => {
+                Some(ClaimResult::Granted { attempt: record.attempt })
+            }
+            ClaimState::Running { .. } => Some(ClaimResult::Unknown),
+            ClaimState::Finished { answer, .. } => Some(ClaimResult::Finished(answer.clone())),
+            ClaimState::Released => None,
+        }
+    }
+
     /// Applies a claim.
     pub fn claim(&mut self, claim: Claim) -> ClaimResult {
         self.advance(claim.at_unix_ms);
@@ -159,7 +172,9 @@
 
     /// Applies the end of a claim. Returns whether the holder had it.
     pub fn settle(&mut self, settle: Settle) -> bool {
-        let Some(record) = self.records.get_mut(&settle.key) else { return false };
+        let Some(record) = self.records.get_mut(&settle.key) else {
+            return false;
+        };
         match &record.state {
             ClaimState::Running { holder, .. } if *holder == settle.holder => {
                 record.state = match settle.answer {
@@ -191,7 +206,9 @@
         while let Some(first) = self.expiries.front()
             && first.expires_unix_ms <= self.now_unix_ms
         {
-            let Some(expiry) = self.expiries.pop_front() else { return };
+            let Some(expiry) = self.expiries.pop_front() else {
+                return;
+            };
             self.records.swap_remove(&expiry.key);
         }
     }
--- a/crates/control/src/formation.rs
+++ b/crates/control/src/formation.rs
@@ -106,7 +106,9 @@
 }
 
 async fn join(log: &Logger, settings: &Settings, own: ReplicaId, address: String) {
-    let Ok(channel) = peers::channel(&address) else { return };
+    let Ok(channel) = peers::channel(&address) else {
+        return;
+    };
     let mut client = ReplicaClient::new(channel);
     let member = ReplicaMember {
         replica_id: own.0,
--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -19,7 +19,8 @@
         return ExitCode::SUCCESS;
     }
     let log = daemon::logger("heatherweir-control");
-    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
+    let runtime =
+        tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
     let runtime = match runtime {
         Ok(runtime) => runtime,
         Err(error) => {
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -89,7 +89,9 @@
     }
 
     fn send(&mut self, envelope: Envelope) {
-        let Some(address) = self.addresses.get(&envelope.to) else { return };
+        let Some(address) = self.addresses.get(&envelope.to) else {
+            return;
+        };
         let is_current =
             self.streams.get(&envelope.to).is_some_and(|stream| stream.address == *address);
         if !is_current {
@@ -112,7 +114,9 @@
     /// Forwards messages until the replica closes the queue, reconnecting as needed.
     async fn run(self, mut messages: mpsc::Receiver<Message>) {
         loop {
-            let Some(first) = messages.recv().await else { return };
+            let Some(first) = messages.recv().await else {
+                return;
+            };
             if let Err(status) = self.stream(first, &mut messages).await {
                 debug!(self.log, "replica-stream-lost";
                     "to" => %self.to, "error" => status.message().to_owned());
--- a/crates/control/src/profiles.rs
+++ b/crates/control/src/profiles.rs
@@ -99,9 +99,7 @@
 
     /// Returns the current version of each profile.
     pub fn current(&self) -> impl Iterator<Item = (&str, &ProfileVersion)> {
-        self.histories
-            .iter()
-            .filter_map(|(name, history)| Some((name.as_str(), history.back()?)))
+        self.histories.iter().filter_map(|(name, history)| Some((name.as_str(), history.back()?)))
     }
 
     /// Returns the kept versions of a profile, oldest first.
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -17,6 +17,7 @@
 use storage::{ReplicaFiles, StorageError};
 use tokio::sync::{oneshot, watch};
 
+use crate::claims::{ClaimKey, ClaimResult};
 use crate::peers::Outbox;
 use crate::state::{Applied, Command, State, StateError};
 use crate::view::View;
@@ -76,6 +77,7 @@
     Message { from: ReplicaId, from_address: String, message: Message },
     Propose { command: Command, reply: ProposalReply },
     Admit { id: ReplicaId, member: Member, reply: oneshot::Sender<bool> },
+    LookUp { key: ClaimKey, holder: u64, reply: oneshot::Sender<Option<ClaimResult>> },
     Form { membership: Membership },
     Stop,
 }
@@ -208,6 +210,9 @@
                 let is_admitted = self.admit(now_us, id, member);
                 let _ = reply.send(is_admitted);
             }
+            Input::LookUp { key, holder, reply } => {
+                let _ = reply.send(self.state.claims().lookup(&key, holder));
+            }
             Input::Form { membership } => self.form(membership),
             Input::Stop => {}
         }
@@ -288,7 +293,9 @@
     }
 
     fn answer(&mut self, entry: &Entry, applied: Option<Applied>) {
-        let Some(pending) = self.pending.remove(&entry.index) else { return };
+        let Some(pending) = self.pending.remove(&entry.index) else {
+            return;
+        };
         let result = match applied {
             Some(applied) if pending.term == entry.term => Ok(applied),
             _ => Err(ProposalError::Interrupted),
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -137,7 +137,9 @@
 }
 
 async fn sync_with(shared: &Shared, replica: u64, address: &str, known_revision: &mut u64) {
-    let Ok(channel) = peers::channel(address) else { return };
+    let Ok(channel) = peers::channel(address) else {
+        return;
+    };
     let mut client = ReplicaClient::new(channel).max_decoding_message_size(MAX_MESSAGE_BYTES);
     let request = SyncDirectoryRequest {
         cluster_id: shared.settings.cluster_id.clone(),
--- a/crates/control/src/service/claim_service.rs
+++ b/crates/control/src/service/claim_service.rs
@@ -8,14 +8,18 @@
 use rpc::{
     ClaimReply, ClaimRequest, ClaimStatus, Header, SettleReply, SettleRequest, StoredAnswer,
 };
+use tokio::sync::oneshot;
 use tonic::{Request, Response, Status};
 
 use super::Shared;
 use crate::claims::{Claim, ClaimKey, ClaimResult, KeptAnswer, KeptHeader, Settle};
+use crate::replica::Input;
 use crate::state::{Applied, Command};
 
 /// Time after which a claim counts as refused for want of a quorum.
-const CLAIM_TIMEOUT: Duration = Duration::from_millis(800);
+const CLAIM_TIMEOUT: Duration = Duration::from_millis(300);
+/// Age of the contact with a quorum from which a claim is refused at once.
+const MAX_CONTACT_AGE_US: u64 = 1_000_000;
 
 pub(super) struct ClaimService {
     shared: Shared,
@@ -26,6 +30,30 @@
         Self { shared }
     }
 
+    /// Returns whether the replica has heard from a quorum lately.
+    fn has_quorum(&self) -> bool {
+        let contact_us = self.shared.replica.view().quorum_contact_us;
+        self.shared.clock.now_us().saturating_sub(contact_us) < MAX_CONTACT_AGE_US
+    }
+
+    async fn claim_at_leader(&self, request: ClaimRequest) -> ClaimReply {
+        match self.shared.leader_channel() {
+            Some(channel) if !request.is_forwarded => {
+                let forwarded = ClaimRequest { is_forwarded: true, ..request };
+                let reply = ClaimsClient::new(channel).claim(forwarded).await;
+                reply.map_or_else(|_| no_quorum(), Response::into_inner)
+            }
+            _ => self.claim_here(request).await,
+        }
+    }
+
+    /// Answers from the own ledger what is certain without a quorum: that work was claimed before.
+    async fn look_up(&self, key: ClaimKey, holder: u64) -> Option<ClaimReply> {
+        let (reply, answer) = oneshot::channel();
+        self.shared.replica.input(Input::LookUp { key, holder, reply });
+        answer.await.ok().flatten().map(claim_reply)
+    }
+
     async fn claim_here(&self, request: ClaimRequest) -> ClaimReply {
         let command = Command::Claim(Claim {
             key: ClaimKey { key: request.key, service: request.service, route: request.route },
@@ -56,19 +84,18 @@
 impl Claims for ClaimService {
     async fn claim(&self, request: Request<ClaimRequest>) -> Result<Response<ClaimReply>, Status> {
         let request = request.into_inner();
-        let may_forward = !request.is_forwarded;
-        let work = async {
-            match self.shared.leader_channel() {
-                Some(channel) if may_forward => {
-                    let forwarded = ClaimRequest { is_forwarded: true, ..request };
-                    let reply = ClaimsClient::new(channel).claim(forwarded).await;
-                    reply.map_or_else(|_| no_quorum(), Response::into_inner)
-                }
-                _ => self.claim_here(request).await,
+        let (key, holder) = (claim_key(&request), request.holder);
+        let reply = match self.has_quorum() {
+            true => {
+                let work = self.claim_at_leader(request);
+                tokio::time::timeout(CLAIM_TIMEOUT, work).await.unwrap_or_else(|_| no_quorum())
             }
+            false => no_quorum(),
         };
-        let reply = tokio::time::timeout(CLAIM_TIMEOUT, work).await;
-        Ok(Response::new(reply.unwrap_or_else(|_| no_quorum())))
+        if reply.status() != ClaimStatus::NoQuorum {
+            return Ok(Response::new(reply));
+        }
+        Ok(Response::new(self.look_up(key, holder).await.unwrap_or(reply)))
     }
 
     async fn settle(
@@ -92,6 +119,14 @@
     }
 }
 
+fn claim_key(request: &ClaimRequest) -> ClaimKey {
+    ClaimKey {
+        key: request.key.clone(),
+        service: request.service.clone(),
+        route: request.route.clone(),
+    }
+}
+
 fn no_quorum() -> ClaimReply {
     ClaimReply { status: ClaimStatus::NoQuorum.into(), attempt: 0, answer: None }
 }
--- a/crates/control/src/service/directory_service.rs
+++ b/crates/control/src/service/directory_service.rs
@@ -134,10 +134,8 @@
         let gone = self.sent.keys().filter(|vm| !wanted.contains_key(*vm)).cloned();
         let gone: Vec<String> = gone.collect();
         let profiles = self.new_profiles();
-        let has_news = self.is_first
-            || !changed.is_empty()
-            || !gone.is_empty()
-            || profiles.is_some();
+        let has_news =
+            self.is_first || !changed.is_empty() || !gone.is_empty() || profiles.is_some();
         if !has_news {
             return Ok(());
         }
--- a/crates/control/src/service/profile_service.rs
+++ b/crates/control/src/service/profile_service.rs
@@ -36,7 +36,9 @@
     }
 
     fn is_authorized(&self, token: &str) -> bool {
-        let Some(expected) = &self.shared.settings.operator_token else { return false };
+        let Some(expected) = &self.shared.settings.operator_token else {
+            return false;
+        };
         // Digests have one length, and their comparison tells nothing of the token.
         let (given, expected) = (Sha256::digest(token), Sha256::digest(expected));
         given.iter().zip(expected.iter()).fold(0, |diff, (a, b)| diff | (a ^ b)) == 0
@@ -52,9 +54,9 @@
             return Some(reply(ChangeOutcome::Invalid, detail));
         }
         if request.is_retire {
-            return self.is_in_use(&request.name).then(|| {
-                reply(ChangeOutcome::InUse, "an announced upstream uses the profile")
-            });
+            return self
+                .is_in_use(&request.name)
+                .then(|| reply(ChangeOutcome::InUse, "an announced upstream uses the profile"));
         }
         match model::parse_profile(&request.text) {
             Err(error) => Some(reply(ChangeOutcome::Invalid, error.to_string())),
--- a/crates/control/src/service/replica_service.rs
+++ b/crates/control/src/service/replica_service.rs
@@ -45,11 +45,8 @@
 
     async fn admit(&self, member: ReplicaMember) -> bool {
         let (reply, answer) = oneshot::channel();
-        let converted = Member {
-            address: member.address,
-            data_centre: member.data_centre,
-            is_voter: false,
-        };
+        let converted =
+            Member { address: member.address, data_centre: member.data_centre, is_voter: false };
         let id = ReplicaId(member.replica_id);
         self.shared.replica.input(Input::Admit { id, member: converted, reply });
         answer.await.unwrap_or(false)
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -106,8 +106,12 @@
             value_parser!(SocketAddr),
         ))
         .arg(
-            setting_flag("admin-listen", "IP:PORT of the admin listener", value_parser!(SocketAddr))
-                .required(true),
+            setting_flag(
+                "admin-listen",
+                "IP:PORT of the admin listener",
+                value_parser!(SocketAddr),
+            )
+            .required(true),
         )
         .arg(
             setting_flag("data-dir", "Folder of the replica's files", value_parser!(PathBuf))
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,14 @@
+//! `heatherweirctl`: operates overload profiles.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let matches = ctl::command().get_matches();
+    match ctl::run(&matches) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("heatherweirctl: {error}");
+            ExitCode::from(error.exit_status())
+        }
+    }
+}
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -13,11 +13,7 @@
 }
 
 /// Makes a flag that an environment variable `HEATHERWEIR_...` also sets.
-pub fn setting_flag(
-    name: &'static str,
-    help: &'static str,
-    parser: impl Into<ValueParser>,
-) -> Arg {
+pub fn setting_flag(name: &'static str, help: &'static str, parser: impl Into<ValueParser>) -> Arg {
     Arg::new(name)
         .long(name)
         .env(environment_name(name))
--- a/crates/model/src/profile_text.rs
+++ b/crates/model/src/profile_text.rs
@@ -6,7 +6,9 @@
 use serde::Deserialize;
 use toml::Spanned;
 
-use crate::{Class, LimitSettings, Objective, Profile, ProfileName, RetrySettings, Route, RouteName};
+use crate::{
+    Class, LimitSettings, Objective, Profile, ProfileName, RetrySettings, Route, RouteName,
+};
 
 /// Largest profile text, in bytes.
 pub const MAX_PROFILE_BYTES: usize = 64 * 1024;
@@ -151,12 +153,7 @@
                 0..10_001,
                 default.max_queue_delay_ms,
             ),
-            min_limit: self.small(
-                &raw.min_limit,
-                "limits.min_limit",
-                1..10_001,
-                default.min_limit,
-            ),
+            min_limit: self.small(&raw.min_limit, "limits.min_limit", 1..10_001, default.min_limit),
             cold_ramp_ms: self.optional(
                 &raw.cold_ramp_ms,
                 "limits.cold_ramp_ms",
@@ -196,11 +193,17 @@
             self.fault(&(0..0), "route", "a profile needs at least one [[route]]".to_owned());
         }
         if let Some(extra) = raw.get(MAX_ROUTES) {
-            self.fault(&extra.span(), "route", format!("a profile has at most {MAX_ROUTES} routes"));
+            self.fault(
+                &extra.span(),
+                "route",
+                format!("a profile has at most {MAX_ROUTES} routes"),
+            );
         }
         let mut routes: Vec<Route> = Vec::new();
         for raw_route in raw.iter().take(MAX_ROUTES) {
-            let Some(route) = self.route(raw_route.get_ref()) else { continue };
+            let Some(route) = self.route(raw_route.get_ref()) else {
+                continue;
+            };
             if routes.iter().any(|other| other.name == route.name) {
                 let span = raw_route.get_ref().name.span();
                 self.fault(&span, "route.name", format!("{} is used twice", route.name));
--- a/crates/node/src/body.rs
+++ b/crates/node/src/body.rs
@@ -58,7 +58,9 @@
     pub(crate) async fn read(mut body: Incoming, max_bytes: u64) -> Result<Self, BodyError> {
         let mut held = BytesMut::new();
         while held.len() <= MAX_HELD_BYTES {
-            let Some(frame) = body.frame().await else { return Ok(Self::Full(held.freeze())) };
+            let Some(frame) = body.frame().await else {
+                return Ok(Self::Full(held.freeze()));
+            };
             if let Ok(chunk) = frame?.into_data() {
                 held.extend_from_slice(&chunk);
             }
@@ -97,7 +99,9 @@
                 let Some(frame) = ready!(Pin::new(&mut *body).poll_frame(cx)) else {
                     return Poll::Ready(None);
                 };
-                let Ok(chunk) = frame?.into_data() else { continue };
+                let Ok(chunk) = frame?.into_data() else {
+                    continue;
+                };
                 let Some(left) = left_bytes.checked_sub(chunk.len() as u64) else {
                     return Poll::Ready(Some(Err(BodyError::TooLarge)));
                 };
@@ -241,7 +245,9 @@
                     None => return Poll::Ready(Some(Err(BodyError::Truncated))),
                 };
                 *seen_bytes += frame.chunk.len() as u64;
-                let Some(end) = frame.end else { return Poll::Ready(Some(Ok(frame.chunk))) };
+                let Some(end) = frame.end else {
+                    return Poll::Ready(Some(Ok(frame.chunk)));
+                };
                 if end.body_bytes != *seen_bytes {
                     return Poll::Ready(Some(Err(BodyError::Truncated)));
                 }
--- a/crates/node/src/caller_listener.rs
+++ b/crates/node/src/caller_listener.rs
@@ -61,10 +61,11 @@
         head.class = route.class;
         head.deadline_us = self.dispatcher.clock.now_us() + route.deadline_ms * US_PER_MS;
         head.retry_allowance = policy.allowance;
-        let body = CallBody::read(body, route.max_body_bytes).await.map_err(|error| match error {
-            BodyError::TooLarge => refuse(Reason::BodyTooLarge),
-            _ => refuse(Reason::TruncatedRequest),
-        })?;
+        let body =
+            CallBody::read(body, route.max_body_bytes).await.map_err(|error| match error {
+                BodyError::TooLarge => refuse(Reason::BodyTooLarge),
+                _ => refuse(Reason::TruncatedRequest),
+            })?;
         let parent = Arc::new(ActiveCall::new(&head, 0));
         self.dispatcher.run(OutboundCall { head, route: policy, parent }, body).await
     }
@@ -130,7 +131,9 @@
 }
 
 fn idempotency_key(headers: &HeaderMap) -> Result<Option<String>, Reason> {
-    let Some(value) = headers.get(headers::IDEMPOTENCY_KEY) else { return Ok(None) };
+    let Some(value) = headers.get(headers::IDEMPOTENCY_KEY) else {
+        return Ok(None);
+    };
     let key = value.to_str().map_err(|_| Reason::BadRequest)?;
     if key.is_empty() || key.len() > MAX_KEY_BYTES {
         return Err(Reason::BadRequest);
--- a/crates/node/src/claim_client.rs
+++ b/crates/node/src/claim_client.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use quick_error::quick_error;
@@ -13,7 +13,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 const PING_INTERVAL: Duration = Duration::from_secs(1);
 const PING_TIMEOUT: Duration = Duration::from_millis(500);
-const CLAIM_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Longest wait for one replica.
+const CLAIM_TIMEOUT: Duration = Duration::from_millis(350);
 const RUNNING_POLL: Duration = Duration::from_millis(25);
 const SETTLE_ATTEMPTS: u32 = 20;
 const SETTLE_PAUSE: Duration = Duration::from_millis(500);
@@ -69,32 +70,43 @@
     }
 
     /// Claims, and waits while another holder is at work.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ClaimError::NoQuorum`] only if no holder is known to have been at work.
     pub(crate) async fn claim(
         &self,
         target: &ClaimTarget,
         body_digest: Bytes,
-        deadline: Duration,
+        remaining: Duration,
     ) -> Result<Claimed, ClaimError> {
-        let request = ClaimRequest {
-            key: target.key.clone(),
-            service: target.service.clone(),
-            route: target.route.clone(),
-            body_digest,
-            holder: target.holder,
-            deadline_ms: deadline.as_millis() as u64,
-            is_forwarded: false,
-        };
-        loop {
-            let reply = self.ask(&request).await.ok_or(ClaimError::NoQuorum)?;
+        let started = Instant::now();
+        let mut failure = ClaimError::NoQuorum;
+        while let Some(left) = remaining.checked_sub(started.elapsed()) {
+            let request = ClaimRequest {
+                key: target.key.clone(),
+                service: target.service.clone(),
+                route: target.route.clone(),
+                body_digest: body_digest.clone(),
+                holder: target.holder,
+                deadline_ms: left.as_millis() as u64,
+                is_forwarded: false,
+            };
+            let asked = tokio::time::timeout(left, self.ask(&request)).await;
+            let Ok(Some(reply)) = asked else { return Err(failure) };
             match (reply.status(), reply.answer) {
                 (ClaimStatus::Granted, _) => return Ok(Claimed::Granted),
                 (ClaimStatus::Finished, Some(answer)) => return Ok(Claimed::Finished(answer)),
-                (ClaimStatus::Running, _) => tokio::time::sleep(RUNNING_POLL).await,
+                (ClaimStatus::Running, _) => {
+                    failure = ClaimError::Unknown;
+                    tokio::time::sleep(RUNNING_POLL).await;
+                }
                 (ClaimStatus::Conflict, _) => return Err(ClaimError::Conflict),
                 (ClaimStatus::Unknown, _) => return Err(ClaimError::Unknown),
-                _ => return Err(ClaimError::NoQuorum),
+                _ => return Err(failure),
             }
         }
+        Err(failure)
     }
 
     /// Ends a claim with an answer, or releases it. Returns whether that is committed.
@@ -120,7 +132,11 @@
     }
 
     /// Ends a claim in the background, trying again for a while.
-    pub(crate) async fn settle_persistently(self, target: ClaimTarget, answer: Option<StoredAnswer>) {
+    pub(crate) async fn settle_persistently(
+        self,
+        target: ClaimTarget,
+        answer: Option<StoredAnswer>,
+    ) {
         for _ in 0..SETTLE_ATTEMPTS {
             if self.settle(&target, answer.clone()).await {
                 return;
--- a/crates/node/src/control_link.rs
+++ b/crates/node/src/control_link.rs
@@ -141,7 +141,9 @@
         for endpoint in &update.endpoints {
             routes.upsert(endpoint);
         }
-        let Some(profiles) = update.profiles else { return false };
+        let Some(profiles) = update.profiles else {
+            return false;
+        };
         let is_new = self.dispatcher.profiles.apply(profiles);
         self.dispatcher.ingress.refresh_limits();
         is_new
@@ -182,7 +184,9 @@
     /// Takes the profiles that other nodes have, so that a start needs no control replica.
     async fn fetch_from_peers(&self) {
         for address in &self.settings.peer_seeds {
-            let Ok(channel) = peer_client::open(*address) else { continue };
+            let Ok(channel) = peer_client::open(*address) else {
+                continue;
+            };
             let mut client = PeerClient::new(channel);
             let call = client.fetch_profiles(FetchProfilesRequest::default());
             if let Ok(Ok(set)) = tokio::time::timeout(FETCH_TIMEOUT, call).await {
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -5,9 +5,9 @@
 
 use daemon::Clock;
 use model::{Outcome, Reason, Route, Vm, VmName};
+use policy::US_PER_MS;
 use policy::retry::{self, AttemptLimits, FailedAttempt};
 use policy::routing::{AttemptResult, ReportedLoad};
-use policy::US_PER_MS;
 
 use crate::answer::{Answer, CallFailure, NodeLoad};
 use crate::body::{AnswerBody, CallBody};
--- a/crates/node/src/egress_listener.rs
+++ b/crates/node/src/egress_listener.rs
@@ -111,10 +111,11 @@
         if route.is_claimed && head.idempotency_key.is_none() {
             return Err(refuse(Reason::MissingKey));
         }
-        let body = CallBody::read(body, route.max_body_bytes).await.map_err(|error| match error {
-            BodyError::TooLarge => refuse(Reason::BodyTooLarge),
-            _ => refuse(Reason::TruncatedRequest),
-        })?;
+        let body =
+            CallBody::read(body, route.max_body_bytes).await.map_err(|error| match error {
+                BodyError::TooLarge => refuse(Reason::BodyTooLarge),
+                _ => refuse(Reason::TruncatedRequest),
+            })?;
         let parent = parent.call.unwrap_or_else(|| Arc::new(ActiveCall::new(&head, 0)));
         self.dispatcher.run(OutboundCall { head, route: policy, parent }, body).await
     }
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use daemon::Clock;
-use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, header};
+use http::{HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use model::{
@@ -19,23 +19,20 @@
 use policy::shed::{self, LevelController, Refused};
 use policy::{US_PER_MS, US_PER_S};
 use rpc::StoredAnswer;
-use sha2::{Digest, Sha256};
-use tokio::task::JoinSet;
 
 use crate::admission_gate::{AdmissionGate, Permit};
 use crate::answer::{Answer, AnswerGuard, CallFailure, NodeLoad, UpstreamGuard};
 use crate::body::{AnswerBody, AnswerStream, CallBody, MAX_HELD_BYTES};
 use crate::call::{ActiveCall, CallHead, CallTable};
-use crate::claim_client::{ClaimClient, ClaimError, ClaimTarget, Claimed};
+use crate::claim_client::{ClaimError, ClaimTarget};
+use crate::claim_guard::{Claim, ClaimGuard};
 use crate::profile_store::ProfileStore;
 use crate::stats::{Counter, Stats};
 use crate::upstream_client::{UpstreamClient, UpstreamError};
+use crate::wire_headers::{answer_headers, from_rpc_headers};
 
 /// Time without an announcement after which the upstream counts as gone, in microseconds.
 const ANNOUNCEMENT_LEASE_US: u64 = 3 * US_PER_S;
-/// Largest answer body that is kept with a claim, in bytes.
-const MAX_KEPT_ANSWER_BYTES: usize = MAX_HELD_BYTES;
-
 /// The upstream as it last announced itself.
 #[derive(Debug, Clone)]
 pub(crate) struct Upstream {
@@ -48,7 +45,7 @@
     pub(crate) clock: Clock,
     pub(crate) profiles: Arc<ProfileStore>,
     pub(crate) stats: Arc<Stats>,
-    pub(crate) claims: ClaimClient,
+    pub(crate) claims: ClaimGuard,
 }
 
 /// Guard of the upstream beside the node.
@@ -59,7 +56,6 @@
     upstream: ArcSwapOption<Upstream>,
     client: UpstreamClient,
     calls: Arc<CallTable>,
-    settlements: Mutex<JoinSet<()>>,
     is_leaving: AtomicBool,
 }
 
@@ -72,7 +68,6 @@
             upstream: ArcSwapOption::empty(),
             client: UpstreamClient::new(),
             calls: Arc::new(CallTable::default()),
-            settlements: Mutex::new(JoinSet::new()),
             is_leaving: AtomicBool::new(false),
             parts,
         }
@@ -137,23 +132,27 @@
 
     /// Puts the limits of the upstream's profile in force.
     pub(crate) fn refresh_limits(&self) {
-        let Some(upstream) = self.upstream.load_full() else { return };
-        let Some(profile) = self.parts.profiles.get(&upstream.announcement.profile) else { return };
+        let Some(upstream) = self.upstream.load_full() else {
+            return;
+        };
+        let Some(profile) = self.parts.profiles.get(&upstream.announcement.profile) else {
+            return;
+        };
         let slots = upstream.announcement.slots.min(upstream.announcement.connections);
         self.gate.set_config(admission_config(slots, &profile.limits));
     }
 
     /// Waits for settlements of claims that run in the background.
     pub(crate) async fn finish_settlements(&self) {
-        let mut running = {
-            let mut settlements = self.settlements.lock().unwrap_or_else(PoisonError::into_inner);
-            std::mem::take(&mut *settlements)
-        };
-        while running.join_next().await.is_some() {}
+        self.parts.claims.finish().await;
     }
 
     /// Runs a call at the upstream.
-    pub(crate) async fn serve(&self, head: CallHead, body: CallBody) -> Result<Answer, CallFailure> {
+    pub(crate) async fn serve(
+        &self,
+        head: CallHead,
+        body: CallBody,
+    ) -> Result<Answer, CallFailure> {
         self.serve_admitted(head, body, || {}).await
     }
 
@@ -186,7 +185,8 @@
             Ok(permit) => permit,
             Err(reason) => return Err(refuse(reason, body)),
         };
-        let claim = match self.claim(&head, &route, &body).await {
+        let claim = match self.parts.claims.claim(&head, &route, &body, self.remaining(&head)).await
+        {
             Ok(Claim::None) => None,
             Ok(Claim::Held(target)) => Some(target),
             Ok(Claim::Finished(answer)) => return Ok(stored_answer(answer, allowance)),
@@ -197,7 +197,7 @@
             }
         };
         if self.parts.clock.now_us() >= head.deadline_us {
-            self.release(claim);
+            self.parts.claims.release(claim);
             return Err(refuse(Reason::DeadlineExceeded, body));
         }
         proceed();
@@ -225,54 +225,6 @@
         result
     }
 
-    async fn claim(
-        &self,
-        head: &CallHead,
-        route: &Route,
-        body: &CallBody,
-    ) -> Result<Claim, ClaimError> {
-        if !route.is_claimed {
-            return Ok(Claim::None);
-        }
-        let Some(key) = head.idempotency_key.clone() else { return Ok(Claim::None) };
-        let target = ClaimTarget {
-            key,
-            service: head.service.to_string(),
-            route: route.name.to_string(),
-            holder: rand::random(),
-        };
-        let left = self.remaining(head);
-        let claimed =
-            tokio::time::timeout(left, self.parts.claims.claim(&target, digest(head, body), left));
-        match claimed.await.unwrap_or(Err(ClaimError::NoQuorum)) {
-            Ok(Claimed::Granted) => {
-                self.parts.stats.add(Counter::ClaimsGranted);
-                Ok(Claim::Held(target))
-            }
-            Ok(Claimed::Finished(answer)) => Ok(Claim::Finished(answer)),
-            Err(ClaimError::NoQuorum) => {
-                self.parts.stats.add(Counter::ClaimsNoQuorum);
-                // The claim may be committed although its answer was lost.
-                self.release(Some(target));
-                Err(ClaimError::NoQuorum)
-            }
-            Err(error) => Err(error),
-        }
-    }
-
-    /// Releases a claim in the background.
-    fn release(&self, claim: Option<ClaimTarget>) {
-        self.settle(claim, None);
-    }
-
-    fn settle(&self, claim: Option<ClaimTarget>, answer: Option<StoredAnswer>) {
-        let Some(target) = claim else { return };
-        let client = self.parts.claims.clone();
-        let mut settlements = self.settlements.lock().unwrap_or_else(PoisonError::into_inner);
-        while settlements.try_join_next().is_some() {}
-        settlements.spawn(client.settle_persistently(target, answer));
-    }
-
     fn remaining(&self, head: &CallHead) -> Duration {
         Duration::from_micros(head.deadline_us.saturating_sub(self.parts.clock.now_us()))
     }
@@ -297,7 +249,7 @@
         let response = match sent {
             Ok(Ok(response)) => response,
             Ok(Err(UpstreamError::Connect)) => {
-                self.release(claim);
+                self.parts.claims.release(claim);
                 let allowance = head.retry_allowance;
                 let failure = CallFailure::not_run(Reason::ConnectFailed, allowance, replay);
                 return Err(failure.with_load(self.load()));
@@ -309,15 +261,13 @@
                 return Err(CallFailure::unknown(Reason::DeadlineExceeded).with_load(self.load()));
             }
         };
-        if is_shed(&response) {
-            return Err(self.shed(guard, claim, replay).await);
+        if let Some(shed) = Shed::read(&response) {
+            return Err(self.shed(shed, guard, claim, replay).await);
         }
         let left = self.remaining(&head);
         match tokio::time::timeout(left, self.collect(&head.method, response, guard, claim)).await {
             Ok(result) => result,
-            Err(_) => {
-                Err(CallFailure::unknown(Reason::DeadlineExceeded).with_load(self.load()))
-            }
+            Err(_) => Err(CallFailure::unknown(Reason::DeadlineExceeded).with_load(self.load())),
         }
     }
 
@@ -354,20 +304,29 @@
     /// Handles the upstream's word that it did not run the call.
     async fn shed(
         &self,
+        shed: Shed,
         guard: UpstreamGuard,
         claim: Option<ClaimTarget>,
         replay: Option<CallBody>,
     ) -> CallFailure {
         let unspent = guard.call.ledger().available();
-        guard.finish_shed();
+        let is_final = guard.call.has_given_up();
+        // The limit of this upstream says nothing of a refusal deeper down.
+        if is_final {
+            guard.finish();
+        } else {
+            guard.finish_shed();
+        }
         let load = self.load();
         if let Some(target) = claim
-            && !self.parts.claims.settle(&target, None).await
+            && !self.parts.claims.release_now(&target).await
         {
-            self.release(Some(target));
-            return CallFailure::unknown(Reason::ShedByUpstream).with_load(load);
+            self.parts.claims.release(Some(target));
+            return CallFailure::unknown(shed.reason).with_load(load);
         }
-        CallFailure::not_run(Reason::ShedByUpstream, unspent, replay).with_load(load)
+        let failure = CallFailure::not_run(shed.reason, unspent, replay).with_load(load);
+        let retry_after_us = shed.retry_after_us.unwrap_or(failure.retry_after_us);
+        CallFailure { is_final, retry_after_us, ..failure }
     }
 
     async fn collect(
@@ -398,7 +357,12 @@
         };
         let held = held.freeze();
         let headers = answer_headers(parts.headers, method, is_whole);
-        self.settle_answer(claim, parts.status, &headers, is_whole.then(|| held.clone()));
+        self.parts.claims.settle_answer(
+            claim,
+            parts.status,
+            &headers,
+            is_whole.then(|| held.clone()),
+        );
         let is_final = guard.call.has_given_up();
         let unspent = guard.call.ledger().available();
         let body = if is_whole {
@@ -412,26 +376,6 @@
         let load = Some(self.load());
         Ok(Answer { status: parts.status, headers, body, load, is_final, unspent })
     }
-
-    fn settle_answer(
-        &self,
-        claim: Option<ClaimTarget>,
-        status: StatusCode,
-        headers: &HeaderMap,
-        body: Option<Bytes>,
-    ) {
-        if claim.is_none() {
-            return;
-        }
-        let is_kept = body.as_ref().is_some_and(|body| body.len() <= MAX_KEPT_ANSWER_BYTES);
-        let answer = StoredAnswer {
-            status: u32::from(status.as_u16()),
-            headers: to_rpc_headers(headers),
-            body: body.filter(|_| is_kept).unwrap_or_default(),
-            is_truncated: !is_kept,
-        };
-        self.settle(claim, Some(answer));
-    }
 }
 
 impl UpstreamGuard {
@@ -450,12 +394,6 @@
     }
 }
 
-enum Claim {
-    None,
-    Held(ClaimTarget),
-    Finished(StoredAnswer),
-}
-
 /// Returns the priority of a call within the whole system.
 pub(crate) fn priority_of(class: Class, head: &CallHead) -> shed::Priority {
     shed::priority(class, head.request_id.bits() as u32)
@@ -473,63 +411,27 @@
     }
 }
 
-fn digest(head: &CallHead, body: &CallBody) -> Bytes {
-    let mut digest = Sha256::new();
-    digest.update(head.method.as_str());
-    digest.update([0]);
-    digest.update(&head.path);
-    digest.update([0]);
-    if let Some(length) = head.headers.get(header::CONTENT_LENGTH) {
-        digest.update(length.as_bytes());
-    }
-    digest.update([0]);
-    digest.update(body.held());
-    Bytes::copy_from_slice(&digest.finalize())
-}
-
-/// Returns whether the upstream says that it did not run the call.
-fn is_shed(response: &Response<Incoming>) -> bool {
-    let is_refusal = response.status() == StatusCode::SERVICE_UNAVAILABLE
-        || response.status() == StatusCode::TOO_MANY_REQUESTS;
-    let outcome = response.headers().get(headers::OUTCOME);
-    is_refusal && outcome.is_some_and(|value| value == Outcome::NotRun.as_str())
-}
-
-/// Drops headers that belong to the connection or to heatherweir.
-fn answer_headers(from: HeaderMap, method: &Method, is_whole: bool) -> HeaderMap {
-    let mut kept = HeaderMap::with_capacity(from.len());
-    for (name, value) in &from {
-        let is_kept = !headers::is_hop_by_hop(name.as_str()) && !headers::is_internal(name.as_str());
-        if is_kept {
-            kept.append(name.clone(), value.clone());
-        }
-    }
-    if is_whole && method != Method::HEAD {
-        kept.remove(header::CONTENT_LENGTH);
-    }
-    kept
-}
-
-/// Converts headers for a message.
-pub(crate) fn to_rpc_headers(headers: &HeaderMap) -> Vec<rpc::Header> {
-    let converted = headers.iter().map(|(name, value)| rpc::Header {
-        name: name.as_str().to_owned(),
-        value: Bytes::copy_from_slice(value.as_bytes()),
-    });
-    converted.collect()
+/// The upstream's word that it did not run a call.
+struct Shed {
+    reason: Reason,
+    retry_after_us: Option<u64>,
 }
 
-/// Converts headers of a message; unusable ones are dropped.
-pub(crate) fn from_rpc_headers(headers: Vec<rpc::Header>) -> HeaderMap {
-    let mut converted = HeaderMap::with_capacity(headers.len());
-    for header in headers {
-        let name = HeaderName::from_bytes(header.name.as_bytes());
-        let value = HeaderValue::from_bytes(&header.value);
-        if let (Ok(name), Ok(value)) = (name, value) {
-            converted.append(name, value);
+impl Shed {
+    fn read(response: &Response<Incoming>) -> Option<Self> {
+        let is_refusal = response.status() == StatusCode::SERVICE_UNAVAILABLE
+            || response.status() == StatusCode::TOO_MANY_REQUESTS;
+        let text = |name: &str| response.headers().get(name).and_then(|value| value.to_str().ok());
+        if !is_refusal || text(headers::OUTCOME) != Some(Outcome::NotRun.as_str()) {
+            return None;
         }
+        let reason = text(headers::REASON).and_then(Reason::from_code);
+        let retry_after_s = text(header::RETRY_AFTER.as_str()).and_then(|s| s.parse::<u64>().ok());
+        Some(Self {
+            reason: reason.unwrap_or(Reason::ShedByUpstream),
+            retry_after_us: retry_after_s.map(|seconds| seconds.saturating_mul(US_PER_S)),
+        })
     }
-    converted
 }
 
 fn stored_answer(answer: StoredAnswer, allowance: u32) -> Answer {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,6 +10,7 @@
 mod call;
 mod caller_listener;
 mod claim_client;
+mod claim_guard;
 mod control_link;
 mod dispatch;
 mod egress_listener;
@@ -23,6 +24,7 @@
 mod settings;
 mod stats;
 mod upstream_client;
+mod wire_headers;
 
 pub use crate::{
     server::{ServerError, run},
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -2,8 +2,8 @@
 
 use std::process::ExitCode;
 
-use node::{Settings, command};
 use daemon::EXIT_BAD_SETTINGS;
+use node::{Settings, command};
 use slog::error;
 
 fn main() -> ExitCode {
@@ -19,7 +19,10 @@
         return ExitCode::SUCCESS;
     }
     let log = daemon::logger("heatherweir-node");
-    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(settings.traffic_threads).enable_all().build();
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(settings.traffic_threads)
+        .enable_all()
+        .build();
     let runtime = match runtime {
         Ok(runtime) => runtime,
         Err(error) => {
--- a/crates/node/src/peer_client.rs
+++ b/crates/node/src/peer_client.rs
@@ -21,7 +21,7 @@
 use crate::answer::{Answer, AnswerGuard, CallFailure, NodeLoad};
 use crate::body::{AnswerBody, AnswerStream, CallBody, CallStream};
 use crate::call::CallHead;
-use crate::ingress::{from_rpc_headers, to_rpc_headers};
+use crate::wire_headers::{from_rpc_headers, to_rpc_headers};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 const PING_INTERVAL: Duration = Duration::from_millis(500);
@@ -64,11 +64,7 @@
             }
             CallBody::Stream { held, rest } => {
                 let (sender, receiver) = mpsc::channel(STREAM_QUEUE_FRAMES);
-                let first = ForwardFrame {
-                    head: Some(wire_head),
-                    chunk: held.clone(),
-                    end: None,
-                };
+                let first = ForwardFrame { head: Some(wire_head), chunk: held.clone(), end: None };
                 // The queue is empty, so the first frame fits.
                 let _ = sender.try_send(first);
                 let sent = client.forward(ReceiverStream::new(receiver)).await;
--- a/crates/node/src/peer_service.rs
+++ b/crates/node/src/peer_service.rs
@@ -18,8 +18,9 @@
 use crate::answer::{Answer, CallFailure, NodeLoad};
 use crate::body::{AnswerBody, CallBody, CallStream};
 use crate::call::CallHead;
-use crate::ingress::{Ingress, from_rpc_headers, to_rpc_headers};
+use crate::ingress::Ingress;
 use crate::profile_store::ProfileStore;
+use crate::wire_headers::{from_rpc_headers, to_rpc_headers};
 
 const STREAM_QUEUE_FRAMES: usize = 16;
 
@@ -147,10 +148,7 @@
 async fn send_answer(mut answer: Answer, answers: &AnswerSender) {
     let head = Some(answer_head(&answer));
     if let Some(chunk) = answer.body.whole() {
-        let end = AnswerEnd {
-            body_bytes: chunk.len() as u64,
-            unspent_allowance: answer.unspent,
-        };
+        let end = AnswerEnd { body_bytes: chunk.len() as u64, unspent_allowance: answer.unspent };
         send(answers, AnswerFrame { proceed: false, head, chunk, end: Some(end) }).await;
         return;
     }
--- a/crates/node/src/profile_store.rs
+++ b/crates/node/src/profile_store.rs
@@ -68,7 +68,9 @@
     }
 
     fn apply_record(&self, table: &mut Table, record: ProfileRecord) {
-        let Ok(name) = ProfileName::new(&record.name) else { return };
+        let Ok(name) = ProfileName::new(&record.name) else {
+            return;
+        };
         let is_known = table.profiles.get(&name).is_some_and(|p| p.version >= record.version);
         if is_known {
             return;
--- a/crates/node/src/routes.rs
+++ b/crates/node/src/routes.rs
@@ -99,9 +99,16 @@
         self.services.load().get(service).cloned()
     }
 
+    /// Returns the number of endpoints of all services.
+    pub(crate) fn endpoint_count(&self) -> usize {
+        self.services.load().values().map(|routes| routes.vms().len()).sum()
+    }
+
     /// Takes an endpoint of control into account; an unusable one is ignored.
     pub(crate) fn upsert(&self, endpoint: &Endpoint) {
-        let Some((service, endpoint)) = to_peer(endpoint) else { return };
+        let Some((service, endpoint)) = to_peer(endpoint) else {
+            return;
+        };
         self.service(&service).upsert(endpoint);
     }
 
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -16,6 +16,7 @@
 
 use crate::caller_listener::CallerHandler;
 use crate::claim_client::ClaimClient;
+use crate::claim_guard::ClaimGuard;
 use crate::control_link::ControlLink;
 use crate::dispatch::Dispatcher;
 use crate::egress_listener::EgressHandler;
@@ -134,7 +135,7 @@
     let clock = Clock::new();
     let stats = Arc::new(Stats::new());
     let profiles = Arc::new(ProfileStore::new(log.clone()));
-    let claims = ClaimClient::new(&settings.controls)?;
+    let claims = ClaimGuard::new(ClaimClient::new(&settings.controls)?, Arc::clone(&stats));
     let ingress = Arc::new(Ingress::new(IngressParts {
         clock,
         profiles: Arc::clone(&profiles),
@@ -174,6 +175,7 @@
         "service": upstream.as_ref().map(|u| u.announcement.service.to_string()),
         "profile": upstream.as_ref().map(|u| u.announcement.profile.to_string()),
         "profile_revision": dispatcher.profiles.revision(),
+        "endpoints": dispatcher.routes.endpoint_count(),
         "is_leaving": load.is_leaving,
         "in_flight": load.admission.in_flight,
         "limit": load.admission.limit,
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -70,10 +70,16 @@
             "IP:PORT at which other nodes reach this one [default: the peer listen address]",
             address(),
         ))
-        .arg(setting_flag("admin-listen", "IP:PORT of the admin listener", address()).required(true))
         .arg(
-            list_flag("control", "IP:PORT of each control replica, own data centre first", address())
-                .required(true),
+            setting_flag("admin-listen", "IP:PORT of the admin listener", address()).required(true),
+        )
+        .arg(
+            list_flag(
+                "control",
+                "IP:PORT of each control replica, own data centre first",
+                address(),
+            )
+            .required(true),
         )
         .arg(list_flag("peer-seed", "IP:PORT of nodes that may supply profiles", address()))
         .arg(setting_flag("statsd", "IP:PORT of a statsd server", address()))
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -138,8 +138,7 @@
                 None => return (Decision::Refuse(Reason::Overloaded), events),
             }
         }
-        let key =
-            QueueKey { admitted_unix_us: arrival.admitted_unix_us, ticket: arrival.ticket };
+        let key = QueueKey { admitted_unix_us: arrival.admitted_unix_us, ticket: arrival.ticket };
         let waiting = Waiting { class: arrival.class, expires_us };
         self.queues[arrival.class.rank() as usize].insert(key, waiting);
         self.grant(now_us, &mut events);
@@ -243,7 +242,9 @@
     fn grant(&mut self, now_us: u64, events: &mut Vec<Event>) {
         let limit = self.limit.current(now_us);
         while self.in_flight < limit {
-            let Some(ticket) = self.pop_next() else { return };
+            let Some(ticket) = self.pop_next() else {
+                return;
+            };
             self.in_flight += 1;
             events.push(Event::Admit(ticket));
         }
--- a/crates/policy/src/allowance.rs
+++ b/crates/policy/src/allowance.rs
@@ -23,7 +23,9 @@
 
     /// Spends one retry. Returns whether there was one.
     pub fn spend(&mut self) -> bool {
-        let Some(rest) = self.available.checked_sub(1) else { return false };
+        let Some(rest) = self.available.checked_sub(1) else {
+            return false;
+        };
         self.available = rest;
         true
     }
--- a/crates/policy/src/routing.rs
+++ b/crates/policy/src/routing.rs
@@ -171,7 +171,9 @@
     pub fn finish(&mut self, now_us: u64, vm: &VmName, result: AttemptResult) {
         let max_ejected = (self.candidates.len() / ENDPOINTS_PER_EJECTION).max(1);
         let ejected = self.candidates.values().filter(|c| c.is_ejected(now_us)).count();
-        let Some(candidate) = self.candidates.get_mut(vm) else { return };
+        let Some(candidate) = self.candidates.get_mut(vm) else {
+            return;
+        };
         candidate.own_in_flight = candidate.own_in_flight.saturating_sub(1);
         candidate.is_probing = false;
         match result {
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! The code in `generated` comes from `proto/heatherweir.proto`; `cargo xtask codegen` remakes it.
 
+#[rustfmt::skip]
 #[allow(missing_docs, clippy::all)]
 mod generated;
 
--- a/crates/storage/src/frame.rs
+++ b/crates/storage/src/frame.rs
@@ -66,6 +66,8 @@
 /// Returns whether a sector, or the part of one at the end, is all zeros.
 fn has_unwritten_sector(bytes: &[u8], from: usize) -> bool {
     let first = from.next_multiple_of(SECTOR_BYTES);
-    let Some(tail) = bytes.get(first..) else { return false };
+    let Some(tail) = bytes.get(first..) else {
+        return false;
+    };
     tail.chunks(SECTOR_BYTES).any(|sector| sector.iter().all(|&b| b == 0))
 }
--- a/crates/storage/src/replica_files.rs
+++ b/crates/storage/src/replica_files.rs
@@ -73,8 +73,12 @@
         let bytes = read_optional(&path)?.unwrap_or_default();
         let mut stored = Stored { snapshot: snapshot.unwrap_or_default(), ..Stored::default() };
         let whole_bytes = replay(&path, &bytes, &mut stored)?;
-        let mut log =
-            OpenOptions::new().create(true).truncate(false).write(true).open(&path).context(&*path)?;
+        let mut log = OpenOptions::new()
+            .create(true)
+            .truncate(false)
+            .write(true)
+            .open(&path)
+            .context(&*path)?;
         let cut_bytes = bytes.len() as u64 - whole_bytes;
         log.set_len(whole_bytes).context(&*path)?;
         log.seek(SeekFrom::End(0)).context(&*path)?;
@@ -113,10 +117,8 @@
     /// Returns an error if a write or a sync fails; the replica must not go on then.
     pub fn replace(&mut self, stored: &Stored) -> Result<(), StorageError> {
         write_single(&self.folder, SNAPSHOT_FILE, &stored.snapshot)?;
-        let record = LogRecord {
-            hard_state: Some(stored.hard_state),
-            entries: stored.entries.clone(),
-        };
+        let record =
+            LogRecord { hard_state: Some(stored.hard_state), entries: stored.entries.clone() };
         self.log_bytes = write_single_sized(&self.folder, LOG_FILE, &record)?;
         let path = self.folder.join(LOG_FILE);
         self.log = OpenOptions::new().append(true).open(&path).context(&*path)?;
@@ -170,7 +172,9 @@
             *base = if agrees { BaseMatch::Agrees } else { BaseMatch::Conflicts };
             stored.entries.clear();
         }
-        let Some(position) = entry.index.checked_sub(base_index + 1) else { continue };
+        let Some(position) = entry.index.checked_sub(base_index + 1) else {
+            continue;
+        };
         if *base == BaseMatch::Conflicts {
             continue;
         }
@@ -193,7 +197,9 @@
 
 /// Reads a file of one frame. Such a file is renamed into place, so it is never torn.
 fn read_single<T: DeserializeOwned>(path: &Path) -> Result<Option<T>, StorageError> {
-    let Some(bytes) = read_optional(path)? else { return Ok(None) };
+    let Some(bytes) = read_optional(path)? else {
+        return Ok(None);
+    };
     let damaged = |offset: usize| StorageError::Damaged(path.to_path_buf(), offset as u64);
     match frame::decode(&bytes, 0) {
         Frame::Whole { payload, next_offset } if next_offset == bytes.len() => {
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -1,1 +1,7 @@
-//! Stub.
+//! Fakes and a harness: upstreams, callers and the processes of a small deployment.
+
+pub mod cluster;
+pub mod deployment;
+pub mod process;
+pub mod upstream;
+pub mod upstream_client;
--- /dev/null
+++ b/crates/testbed/src/process.rs
@@ -0,0 +1,220 @@
+//! Child processes of a test or measurement, ended when dropped.
+
+use std::fs::{self, File};
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::OnceLock;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use quick_error::quick_error;
+use rustix::process::{Pid, Signal, kill_process};
+
+const POLL: Duration = Duration::from_millis(10);
+
+quick_error! {
+    /// Failure of the harness itself.
+    #[derive(Debug)]
+    pub enum ProcessError {
+        /// A file or process could not be used.
+        Io(what: String, source: io::Error) {
+            display("{}: {}", what, source)
+        }
+        /// The programs do not build.
+        Build(status: ExitStatus) {
+            display("cargo build ended with {}", status)
+        }
+        /// A process did not end in time.
+        StillRunning(name: String) {
+            display("{} did not end in time", name)
+        }
+        /// A condition did not come true in time.
+        Timeout(what: String) {
+            display("timed out: {}", what)
+        }
+        /// A signal could not be sent.
+        Signal(name: String, source: rustix::io::Errno) {
+            display("signal to {}: {}", name, source)
+        }
+    }
+}
+
+/// One child process.
+#[derive(Debug)]
+pub struct Process {
+    name: String,
+    child: Child,
+    log_path: PathBuf,
+}
+
+impl Process {
+    /// Starts a program with its log in a folder.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the program cannot be started.
+    pub fn start(
+        name: impl Into<String>,
+        program: &Path,
+        arguments: impl IntoIterator<Item = String>,
+        log_dir: &Path,
+    ) -> Result<Self, ProcessError> {
+        let name = name.into();
+        let io_error = |error| ProcessError::Io(name.clone(), error);
+        let log_path = log_dir.join(format!("{name}.log"));
+        let log = File::options().create(true).append(true).open(&log_path).map_err(io_error)?;
+        let child = Command::new(program)
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .map_err(io_error)?;
+        Ok(Self { name, child, log_path })
+    }
+
+    /// Returns the process id.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Returns the name given at the start.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Returns what the process logged so far.
+    pub fn log_text(&self) -> String {
+        fs::read_to_string(&self.log_path).unwrap_or_default()
+    }
+
+    /// Asks the process to stop.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the signal cannot be sent.
+    pub fn terminate(&self) -> Result<(), ProcessError> {
+        self.signal(Signal::TERM)
+    }
+
+    /// Freezes the process.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the signal cannot be sent.
+    pub fn freeze(&self) -> Result<(), ProcessError> {
+        self.signal(Signal::STOP)
+    }
+
+    /// Continues a frozen process.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the signal cannot be sent.
+    pub fn thaw(&self) -> Result<(), ProcessError> {
+        self.signal(Signal::CONT)
+    }
+
+    /// Kills the process and waits for its end.
+    pub fn kill(&mut self) {
+        // A process that has ended already cannot be killed.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Returns whether the process still runs.
+    pub fn is_running(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
+    /// Waits for the end of the process.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process does not end in time.
+    pub fn wait(&mut self, limit: Duration) -> Result<ExitStatus, ProcessError> {
+        let started = Instant::now();
+        loop {
+            match self.child.try_wait() {
+                Ok(Some(status)) => return Ok(status),
+                Ok(None) if started.elapsed() > limit => {
+                    return Err(ProcessError::StillRunning(self.name.clone()));
+                }
+                Ok(None) => thread::sleep(POLL),
+                Err(error) => return Err(ProcessError::Io(self.name.clone(), error)),
+            }
+        }
+    }
+
+    fn signal(&self, signal: Signal) -> Result<(), ProcessError> {
+        let Some(pid) = Pid::from_raw(self.child.id() as i32) else {
+            return Ok(());
+        };
+        kill_process(pid, signal).map_err(|error| ProcessError::Signal(self.name.clone(), error))
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Returns a free loopback address.
+///
+/// # Errors
+///
+/// Returns an error if no port can be had.
+pub fn free_address() -> Result<SocketAddr, ProcessError> {
+    let bind =
+        || -> io::Result<SocketAddr> { TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr() };
+    bind().map_err(|error| ProcessError::Io("free port".to_owned(), error))
+}
+
+/// Waits until a condition holds.
+///
+/// # Errors
+///
+/// Returns an error that names the condition if it does not hold in time.
+pub fn wait_until(
+    what: impl Into<String>,
+    limit: Duration,
+    mut condition: impl FnMut() -> bool,
+) -> Result<(), ProcessError> {
+    let started = Instant::now();
+    while !condition() {
+        if started.elapsed() > limit {
+            return Err(ProcessError::Timeout(what.into()));
+        }
+        thread::sleep(POLL);
+    }
+    Ok(())
+}
+
+/// Builds the programs once and returns their folder, that of the running profile.
+///
+/// # Errors
+///
+/// Returns an error if the programs do not build.
+pub fn program_dir() -> Result<PathBuf, ProcessError> {
+    static BUILT: OnceLock<PathBuf> = OnceLock::new();
+    if let Some(dir) = BUILT.get() {
+        return Ok(dir.clone());
+    }
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let mut build = Command::new(option_env!("CARGO").unwrap_or("cargo"));
+    build.current_dir(&root).args(["build", "--quiet", "--workspace", "--bins", "--locked"]);
+    if !cfg!(debug_assertions) {
+        build.arg("--release");
+    }
+    let status =
+        build.status().map_err(|error| ProcessError::Io("cargo build".to_owned(), error))?;
+    if !status.success() {
+        return Err(ProcessError::Build(status));
+    }
+    let profile = if cfg!(debug_assertions) { "debug" } else { "release" };
+    let dir = root.join("target").join(profile);
+    Ok(BUILT.get_or_init(|| dir).clone())
+}
--- /dev/null
+++ b/crates/testbed/src/upstream/settings.rs
@@ -0,0 +1,148 @@
+//! Settings of a fake upstream.
+
+use std::net::SocketAddr;
+use std::str::FromStr;
+
+use clap::{ArgMatches, Command, value_parser};
+use daemon::{list_flag, required, setting_flag, values};
+use model::{ProfileName, ServiceName, VmName};
+use quick_error::quick_error;
+
+use super::Behaviour;
+
+quick_error! {
+    /// Settings that cannot be read.
+    #[derive(Debug)]
+    pub enum SettingsError {
+        /// A call rule is not `PREFIX=SERVICE` or `PREFIX=SERVICE*COUNT`.
+        Rule(text: String) {
+            display("--call: {:?} is not PREFIX=SERVICE or PREFIX=SERVICE*COUNT", text)
+        }
+    }
+}
+
+/// Calls that the upstream makes for requests of a path.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CallRule {
+    /// Start of the path.
+    pub path_prefix: String,
+    /// Service that is called.
+    pub service: ServiceName,
+    /// Calls made for each request, one after another.
+    pub count: u32,
+}
+
+impl FromStr for CallRule {
+    type Err = SettingsError;
+
+    fn from_str(text: &str) -> Result<Self, SettingsError> {
+        let malformed = || SettingsError::Rule(text.to_owned());
+        let (path_prefix, target) = text.split_once('=').ok_or_else(malformed)?;
+        let (service, count) = target.split_once('*').unwrap_or((target, "1"));
+        Ok(Self {
+            path_prefix: path_prefix.to_owned(),
+            service: ServiceName::new(service).map_err(|_| malformed())?,
+            count: count.parse().map_err(|_| malformed())?,
+        })
+    }
+}
+
+/// Settings of a fake upstream.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// VM that it stands on.
+    pub vm: VmName,
+    /// Service that it serves.
+    pub service: ServiceName,
+    /// Profile that the service picked.
+    pub profile: ProfileName,
+    /// Address for calls.
+    pub listen: SocketAddr,
+    /// Address of the admin listener.
+    pub admin_listen: SocketAddr,
+    /// Egress listener of the node beside it, or in the direct arm of a measurement nothing.
+    pub egress: Option<SocketAddr>,
+    /// Addresses of each called service, for the direct arm.
+    pub direct: Vec<DirectTarget>,
+    /// Retries of calls in the direct arm.
+    pub direct_retries: u32,
+    /// Calls to deeper services.
+    pub calls: Vec<CallRule>,
+    /// Connections that it announces.
+    pub connections: u32,
+    /// First behaviour.
+    pub behaviour: Behaviour,
+}
+
+/// Address of an upstream of a called service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DirectTarget {
+    /// Service.
+    pub service: ServiceName,
+    /// Address.
+    pub address: SocketAddr,
+}
+
+impl FromStr for DirectTarget {
+    type Err = SettingsError;
+
+    fn from_str(text: &str) -> Result<Self, SettingsError> {
+        let malformed = || SettingsError::Rule(text.to_owned());
+        let (service, address) = text.split_once('@').ok_or_else(malformed)?;
+        Ok(Self {
+            service: ServiceName::new(service).map_err(|_| malformed())?,
+            address: address.parse().map_err(|_| malformed())?,
+        })
+    }
+}
+
+/// Returns the command line of a fake upstream.
+pub fn command() -> Command {
+    let address = || value_parser!(SocketAddr);
+    Command::new("upstream")
+        .about("Runs a fake upstream")
+        .arg(setting_flag("vm", "VM that it stands on", value_parser!(VmName)).required(true))
+        .arg(setting_flag("service", "Service", value_parser!(ServiceName)).required(true))
+        .arg(setting_flag("profile", "Profile", value_parser!(ProfileName)).required(true))
+        .arg(setting_flag("listen", "IP:PORT for calls", address()).required(true))
+        .arg(
+            setting_flag("admin-listen", "IP:PORT of the admin listener", address()).required(true),
+        )
+        .arg(setting_flag("egress", "IP:PORT of the node's egress listener", address()))
+        .arg(list_flag("direct", "SERVICE@IP:PORT called directly", DirectTarget::from_str))
+        .arg(
+            setting_flag("direct-retries", "Retries of direct calls", value_parser!(u32))
+                .default_value("2"),
+        )
+        .arg(list_flag("call", "PREFIX=SERVICE[*COUNT]", CallRule::from_str))
+        .arg(setting_flag("connections", "Connections", value_parser!(u32)).default_value("100"))
+        .arg(setting_flag("slots", "Calls at once", value_parser!(usize)).default_value("16"))
+        .arg(
+            setting_flag("service-time-us", "Time of a call in microseconds", value_parser!(u64))
+                .default_value("1000"),
+        )
+}
+
+impl Settings {
+    /// Reads parsed flags.
+    pub fn new(matches: &ArgMatches) -> Self {
+        let behaviour = Behaviour {
+            slots: required(matches, "slots"),
+            service_time_us: required(matches, "service-time-us"),
+            ..Behaviour::default()
+        };
+        Self {
+            vm: required(matches, "vm"),
+            service: required(matches, "service"),
+            profile: required(matches, "profile"),
+            listen: required(matches, "listen"),
+            admin_listen: required(matches, "admin-listen"),
+            egress: daemon::optional(matches, "egress"),
+            direct: values(matches, "direct"),
+            direct_retries: required(matches, "direct-retries"),
+            calls: values(matches, "call"),
+            connections: required(matches, "connections"),
+            behaviour,
+        }
+    }
+}
--- a/xtask/src/codegen.rs
+++ b/xtask/src/codegen.rs
@@ -18,6 +18,17 @@
     Ok(())
 }
 
+/// Fails if the committed code is not what the definition makes.
+pub fn check() -> Result<(), ChoreError> {
+    let rpc_dir = workspace_root().join("crates/rpc");
+    let target = rpc_dir.join("src/generated.rs");
+    let committed = fs::read_to_string(&target).context(target.as_path())?;
+    match committed == generate(&rpc_dir)? {
+        true => Ok(()),
+        false => Err(ChoreError::Stale(target)),
+    }
+}
+
 fn generate(rpc_dir: &Path) -> Result<String, ChoreError> {
     let proto_dir = rpc_dir.join("proto");
     let descriptors = protox::compile([proto_dir.join(PROTO_FILE)], [&proto_dir])?;
--- /dev/null
+++ b/xtask/src/demo.rs
@@ -0,0 +1,286 @@
+//! Runs a small deployment and sends requests through it as a caller.
+
+use std::io::Read;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use sha2::{Digest, Sha256};
+use testbed::cluster::Cluster;
+use testbed::deployment::Deployment;
+use testbed::process::wait_until;
+use testbed::upstream_client;
+use ureq::http::Response;
+use ureq::{Agent, Body, SendBody};
+
+use crate::error::ChoreError;
+
+const UPLOAD_BYTES: usize = 64 * 1024 * 1024;
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(60);
+const QUORUM_LIMIT: Duration = Duration::from_secs(10);
+const WARM_UP_REQUESTS: usize = 20;
+
+/// Starts a deployment, sends one request of each kind and stops everything.
+pub fn run(name: &str) -> Result<(), ChoreError> {
+    let cluster = Cluster::start(deployment(name))?;
+    println!("started deployment={name} processes={}", process_count(&cluster));
+    let demo = Demo::new(&cluster);
+    demo.warm_up()?;
+    demo.read()?;
+    demo.charge_twice()?;
+    demo.upload()?;
+    demo.charge_without_quorum()?;
+    cluster.stop()?;
+    println!("stopped every process ended with status 0");
+    Ok(())
+}
+
+/// Starts a deployment and leaves it running until told to stop.
+pub fn hold(name: &str) -> Result<(), ChoreError> {
+    let cluster = Cluster::start(deployment(name))?;
+    print_processes(&cluster);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(daemon::stop_requested())?;
+    cluster.stop()?;
+    Ok(())
+}
+
+fn deployment(name: &str) -> Deployment {
+    match name {
+        "accra" => Deployment::accra(),
+        _ => Deployment::attica(),
+    }
+}
+
+fn process_count(cluster: &Cluster) -> usize {
+    cluster.controls.len() + 2 * cluster.instances.len()
+}
+
+fn print_processes(cluster: &Cluster) {
+    for control in &cluster.controls {
+        println!(
+            "role=control data_centre={} pid={} listen={} admin={}",
+            control.data_centre,
+            control.process.pid(),
+            control.address,
+            control.admin
+        );
+    }
+    for instance in &cluster.instances {
+        println!(
+            "role=node service={} data_centre={} vm={} pid={} callers={} egress={} peers={} admin={}",
+            instance.service,
+            instance.data_centre,
+            instance.vm,
+            instance.node.pid(),
+            instance.caller,
+            instance.egress,
+            instance.peer,
+            instance.node_admin
+        );
+        println!(
+            "role=upstream service={} data_centre={} vm={} pid={} listen={} admin={}",
+            instance.service,
+            instance.data_centre,
+            instance.vm,
+            instance.upstream.pid(),
+            instance.upstream_listen,
+            instance.upstream_admin
+        );
+    }
+}
+
+/// What a caller got.
+struct Reply {
+    status: u16,
+    outcome: String,
+    reason: String,
+    retry_after_s: Option<u64>,
+    body: serde_json::Value,
+    text: String,
+    elapsed: Duration,
+}
+
+struct Demo<'a> {
+    cluster: &'a Cluster,
+    agent: Agent,
+    entry: SocketAddr,
+}
+
+impl<'a> Demo<'a> {
+    fn new(cluster: &'a Cluster) -> Self {
+        let agent = Agent::config_builder()
+            .timeout_global(Some(REQUEST_TIMEOUT))
+            .http_status_as_error(false)
+            .build()
+            .into();
+        Self { cluster, agent, entry: cluster.entries()[0] }
+    }
+
+    fn warm_up(&self) -> Result<(), ChoreError> {
+        for _ in 0..WARM_UP_REQUESTS {
+            self.get(self.cluster.deployment.read_path)?;
+        }
+        Ok(())
+    }
+
+    fn read(&self) -> Result<(), ChoreError> {
+        let path = self.cluster.deployment.read_path;
+        let reply = self.get(path)?;
+        self.print("read", path, &reply);
+        check("the read is answered", reply.status == 200)?;
+        check("the read has its own path", reply.body["path"] == path)
+    }
+
+    fn charge_twice(&self) -> Result<(), ChoreError> {
+        let path = self.cluster.deployment.charge_path;
+        let first = self.charge(path, "demo-key-1")?;
+        self.print("charge", path, &first);
+        let second = self.charge(path, "demo-key-1")?;
+        self.print("charge-again", path, &second);
+        check("the charge is answered", first.status == 200 && second.status == 200)?;
+        check("both answers are the same", first.text == second.text)?;
+        let runs = self.runs_of("demo-key-1", self.cluster.deployment.charge_service)?;
+        println!("  ran {runs} time(s) at {}", self.cluster.deployment.charge_service);
+        check("the charge ran once", runs == 1)
+    }
+
+    fn upload(&self) -> Result<(), ChoreError> {
+        let path = "/uploads/master-1";
+        let content: Vec<u8> = (0..UPLOAD_BYTES).map(|i| (i * 31 % 251) as u8).collect();
+        let expected = hex(&Sha256::digest(&content));
+        let started = Instant::now();
+        let mut reader = content.as_slice();
+        let body = SendBody::from_reader(&mut reader as &mut dyn Read);
+        let response = self
+            .agent
+            .put(format!("http://{}{path}", self.entry))
+            .content_type("application/octet-stream")
+            .send(body)?;
+        let reply = read_reply(response, started)?;
+        self.print("upload", path, &reply);
+        check("the upload is answered", reply.status == 200)?;
+        check("the digest is the caller's", reply.body["body_sha256"] == expected)?;
+        let service = self.cluster.deployment.upload_service;
+        let mut stored = Vec::new();
+        for instance in self.cluster.instances_of(service) {
+            stored.push(upstream_client::record(instance.upstream_admin)?.last_upload_sha256);
+        }
+        println!("  digest {expected} at {service}");
+        check("the store has the same bytes", stored.contains(&Some(expected)))
+    }
+
+    /// Freezes the other data centres' replicas, so that this one is cut off from the quorum.
+    fn charge_without_quorum(&self) -> Result<(), ChoreError> {
+        let others = &self.cluster.controls[1..];
+        for control in others {
+            control.process.freeze()?;
+        }
+        let path = self.cluster.deployment.charge_path;
+        let reply = self.charge(path, "demo-key-2")?;
+        self.print("charge-cut-off", path, &reply);
+        let read = self.get(self.cluster.deployment.read_path)?;
+        self.print("read-cut-off", self.cluster.deployment.read_path, &read);
+        for control in others {
+            control.process.thaw()?;
+        }
+        check("the charge is refused", reply.status == 503)?;
+        check("the caller hears that it did not run", reply.outcome == "not-run")?;
+        check("the caller hears when to come back", reply.retry_after_s.is_some())?;
+        check("reads go on", read.status == 200)?;
+        let runs = self.runs_of("demo-key-2", self.cluster.deployment.charge_service)?;
+        check("the refused charge truly did not run", runs == 0)?;
+        let mut healed = None;
+        wait_until("the quorum is back", QUORUM_LIMIT, || {
+            healed = self.charge(path, "demo-key-2").ok();
+            healed.as_ref().is_some_and(|reply| reply.status == 200)
+        })?;
+        if let Some(reply) = &healed {
+            self.print("charge-healed", path, reply);
+        }
+        let runs = self.runs_of("demo-key-2", self.cluster.deployment.charge_service)?;
+        check("the charge ran once after the quorum came back", runs == 1)
+    }
+
+    fn get(&self, path: &str) -> Result<Reply, ChoreError> {
+        let started = Instant::now();
+        let response = self.agent.get(format!("http://{}{path}", self.entry)).call()?;
+        read_reply(response, started)
+    }
+
+    fn charge(&self, path: &str, key: &str) -> Result<Reply, ChoreError> {
+        let started = Instant::now();
+        let response = self
+            .agent
+            .post(format!("http://{}{path}", self.entry))
+            .header("idempotency-key", key)
+            .header("x-tag", key)
+            .send("charge")?;
+        read_reply(response, started)
+    }
+
+    fn runs_of(&self, tag: &str, service: &str) -> Result<u64, ChoreError> {
+        let mut runs = 0;
+        for instance in self.cluster.instances_of(service) {
+            let record = upstream_client::record(instance.upstream_admin)?;
+            runs += record.runs.get(tag).copied().unwrap_or(0);
+        }
+        Ok(runs)
+    }
+
+    /// Prints the path that the answer took and what is not the upstreams' own time.
+    fn print(&self, what: &str, path: &str, reply: &Reply) {
+        let trail: Vec<&str> = reply.body["trail"]
+            .as_array()
+            .into_iter()
+            .flatten()
+            .filter_map(|v| v.as_str())
+            .collect();
+        let own_us: u64 = trail.iter().map(|vm| self.service_time_us(vm)).sum();
+        let added_us = (reply.elapsed.as_micros() as u64).saturating_sub(own_us);
+        println!(
+            "{what} path={path} status={} outcome={} reason={} retry_after_s={:?} trail={} \
+             elapsed_us={} added_us={added_us}",
+            reply.status,
+            reply.outcome,
+            reply.reason,
+            reply.retry_after_s,
+            trail.join(">"),
+            reply.elapsed.as_micros(),
+        );
+    }
+
+    fn service_time_us(&self, vm: &str) -> u64 {
+        let instance = self.cluster.instances.iter().find(|instance| instance.vm == vm);
+        let service = instance.map(|instance| instance.service.as_str());
+        let mut services = self.cluster.deployment.services.iter();
+        services.find(|spec| Some(spec.name) == service).map_or(0, |spec| spec.service_time_us)
+    }
+}
+
+fn read_reply(mut response: Response<Body>, started: Instant) -> Result<Reply, ChoreError> {
+    let text = response.body_mut().read_to_string()?;
+    let header = |name: &str| {
+        let value = response.headers().get(name).and_then(|value| value.to_str().ok());
+        value.unwrap_or_default().to_owned()
+    };
+    Ok(Reply {
+        status: response.status().as_u16(),
+        outcome: header("heatherweir-outcome"),
+        reason: header("heatherweir-reason"),
+        retry_after_s: header("retry-after").parse().ok(),
+        body: serde_json::from_str(&text).unwrap_or_default(),
+        text,
+        elapsed: started.elapsed(),
+    })
+}
+
+fn check(what: &str, holds: bool) -> Result<(), ChoreError> {
+    match holds {
+        true => Ok(()),
+        false => Err(ChoreError::Check(what.to_owned())),
+    }
+}
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
--- a/xtask/src/error.rs
+++ b/xtask/src/error.rs
@@ -3,6 +3,9 @@
 use std::path::PathBuf;
 
 use quick_error::quick_error;
+use testbed::cluster::ClusterError;
+use testbed::process::ProcessError;
+use testbed::upstream_client::UpstreamClientError;
 
 quick_error! {
     /// Failure of a chore.
@@ -20,5 +23,38 @@
             display("protocol definition: {}", source)
             from()
         }
+        /// A committed file is not what its generator makes.
+        Stale(path: PathBuf) {
+            display("{} is not current, run `cargo xtask codegen`", path.display())
+        }
+        /// The deployment failed.
+        Cluster(source: ClusterError) {
+            display("{}", source)
+            from()
+        }
+        /// A process failed.
+        Process(source: ProcessError) {
+            display("{}", source)
+            from()
+        }
+        /// A fake upstream did not answer.
+        Upstream(source: UpstreamClientError) {
+            display("{}", source)
+            from()
+        }
+        /// A request failed.
+        Http(source: Box<ureq::Error>) {
+            display("{}", source)
+            from(error: ureq::Error) -> (Box::new(error))
+        }
+        /// The runtime cannot be started.
+        Runtime(source: std::io::Error) {
+            display("{}", source)
+            from()
+        }
+        /// Something did not hold.
+        Check(what: String) {
+            display("check failed: {}", what)
+        }
     }
 }
