Measure scenarios with real processes against calling directly

cargo xtask measure runs each arm in one call with an open-loop load whose callers retry hard, and judges by what callers and fakes saw.

--- a/crates/testbed/src/cluster.rs
+++ b/crates/testbed/src/cluster.rs
@@ -2,7 +2,7 @@
 
 use std::fs;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use ctl::{CtlError, OperatorClient, read_profile_dir};
@@ -11,6 +11,7 @@
 
 use crate::deployment::{Deployment, ServiceSpec};
 use crate::process::{Process, ProcessError, free_address, program_dir, wait_until};
+use crate::upstream_client;
 
 const READY_LIMIT: Duration = Duration::from_secs(30);
 const STOP_LIMIT: Duration = Duration::from_secs(30);
@@ -68,8 +69,8 @@
     pub service: String,
     /// Data centre.
     pub data_centre: String,
-    /// Node process.
-    pub node: Process,
+    /// Node process; none in a direct deployment.
+    pub node: Option<Process>,
     /// Upstream process.
     pub upstream: Process,
     /// Listener for callers.
@@ -88,6 +89,15 @@
     upstream_arguments: Vec<String>,
 }
 
+/// Folders of the programs.
+#[derive(Debug, Clone)]
+struct Programs {
+    /// Nodes and control replicas.
+    system: PathBuf,
+    /// Fakes.
+    fakes: PathBuf,
+}
+
 /// Running processes of a deployment.
 #[derive(Debug)]
 pub struct Cluster {
@@ -97,7 +107,7 @@
     pub controls: Vec<ControlReplica>,
     /// Instances of all services.
     pub instances: Vec<Instance>,
-    programs: PathBuf,
+    programs: Programs,
     dir: TempDir,
     member_arguments: Vec<String>,
 }
@@ -110,9 +120,19 @@
     /// Returns an error if a process cannot be started or does not become ready.
     pub fn start(deployment: Deployment) -> Result<Self, ClusterError> {
         let mut cluster = Self::start_controls(deployment)?;
-        cluster.apply_profiles()?;
-        cluster.start_instances()?;
-        cluster.wait_ready()?;
+        cluster.finish_start()?;
+        Ok(cluster)
+    }
+
+    /// Starts every process with nodes and control replicas of another build.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a process cannot be started or does not become ready.
+    pub fn start_build(deployment: Deployment, system: &Path) -> Result<Self, ClusterError> {
+        let mut cluster = Self::new(deployment, Some(system))?;
+        cluster.add_controls()?;
+        cluster.finish_start()?;
         Ok(cluster)
     }
 
@@ -122,32 +142,94 @@
     ///
     /// Returns an error if a process cannot be started.
     pub fn start_controls(deployment: Deployment) -> Result<Self, ClusterError> {
-        let programs = program_dir()?;
-        let dir = TempDir::new()?;
-        fs::write(dir.path().join("token"), OPERATOR_TOKEN)?;
-        let mut members = Vec::new();
-        for data_centre in deployment.data_centres {
-            members.push((*data_centre, free_address()?));
-        }
-        let member_arguments = members
+        let mut cluster = Self::new(deployment, None)?;
+        cluster.add_controls()?;
+        Ok(cluster)
+    }
+
+    /// Starts upstreams that call each other without the layer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a process cannot be started or does not become ready.
+    pub fn start_direct(deployment: Deployment) -> Result<Self, ClusterError> {
+        let mut cluster = Self::new(deployment, None)?;
+        let plans = cluster.plan_instances()?;
+        let direct: Vec<String> = plans
             .iter()
-            .flat_map(|(data_centre, address)| {
-                ["--member".to_owned(), format!("{data_centre}@{address}")]
+            .flat_map(|plan| {
+                let target = format!("{}@{}", plan.spec.name, plan.ports.upstream);
+                flags(&[("--direct", target)])
             })
             .collect();
-        let mut cluster = Self {
+        for plan in plans {
+            let instance = cluster.start_instance(&plan, Layer::Direct(&direct))?;
+            cluster.instances.push(instance);
+        }
+        for instance in &cluster.instances {
+            wait_until(format!("{} ready", instance.vm), READY_LIMIT, || {
+                upstream_client::record(instance.upstream_admin).is_ok()
+            })?;
+        }
+        Ok(cluster)
+    }
+
+    fn new(deployment: Deployment, system: Option<&Path>) -> Result<Self, ClusterError> {
+        let fakes = program_dir()?;
+        let system = system.map_or_else(|| fakes.clone(), Path::to_path_buf);
+        let dir = TempDir::new()?;
+        fs::write(dir.path().join("token"), OPERATOR_TOKEN)?;
+        Ok(Self {
             deployment,
             controls: Vec::new(),
             instances: Vec::new(),
-            programs,
+            programs: Programs { system, fakes },
             dir,
-            member_arguments,
-        };
+            member_arguments: Vec::new(),
+        })
+    }
+
+    fn add_controls(&mut self) -> Result<(), ClusterError> {
+        let mut members = Vec::new();
+        for data_centre in self.deployment.data_centres {
+            members.push((*data_centre, free_address()?));
+        }
+        for (data_centre, address) in &members {
+            let member = format!("{data_centre}@{address}");
+            self.member_arguments.extend(flags(&[("--member", member)]));
+        }
         for (data_centre, address) in members {
-            let replica = cluster.start_control(data_centre, address, free_address()?)?;
-            cluster.controls.push(replica);
+            let replica = self.start_control(data_centre, address, free_address()?)?;
+            self.controls.push(replica);
         }
-        Ok(cluster)
+        Ok(())
+    }
+
+    fn finish_start(&mut self) -> Result<(), ClusterError> {
+        self.apply_profiles()?;
+        for plan in self.plan_instances()? {
+            let instance = self.start_instance(&plan, Layer::Nodes)?;
+            self.instances.push(instance);
+        }
+        self.wait_ready()
+    }
+
+    fn plan_instances(&self) -> Result<Vec<InstancePlan>, ClusterError> {
+        let mut plans = Vec::new();
+        for spec in &self.deployment.services {
+            for number in 0..spec.instances {
+                let data_centres = self.deployment.data_centres;
+                let data_centre = data_centres[number % data_centres.len()];
+                let vm = format!("{}-{}", spec.name, number + 1);
+                plans.push(InstancePlan {
+                    spec: spec.clone(),
+                    vm,
+                    data_centre,
+                    ports: Ports::new()?,
+                });
+            }
+        }
+        Ok(plans)
     }
 
     /// Returns a client with the operators' token.
@@ -184,10 +266,14 @@
         self.instances.iter().filter(move |instance| instance.service == service)
     }
 
-    /// Returns the caller listeners of the front service.
+    /// Returns the addresses to which callers send: nodes, or upstreams in a direct deployment.
     pub fn entries(&self) -> Vec<SocketAddr> {
-        let front = self.deployment.front().name;
-        self.instances_of(front).map(|instance| instance.caller).collect()
+        let front = self.instances_of(self.deployment.front().name);
+        let entry = |instance: &Instance| match instance.node {
+            Some(_) => instance.caller,
+            None => instance.upstream_listen,
+        };
+        front.map(entry).collect()
     }
 
     /// Starts a control replica again with its old files.
@@ -209,15 +295,10 @@
     ///
     /// Returns an error if the process cannot be started.
     pub fn restart_upstream(&mut self, index: usize) -> Result<(), ClusterError> {
-        let program = self.programs.join("heatherweir-testbed");
-        let instance = &mut self.instances[index];
-        instance.upstream.kill();
-        instance.upstream = Process::start(
-            format!("{}-upstream", instance.vm),
-            &program,
-            instance.upstream_arguments.clone(),
-            self.dir.path(),
-        )?;
+        self.instances[index].upstream.kill();
+        let instance = &self.instances[index];
+        let upstream = self.start_upstream(&instance.vm, &instance.upstream_arguments)?;
+        self.instances[index].upstream = upstream;
         Ok(())
     }
 
@@ -227,15 +308,10 @@
     ///
     /// Returns an error if the process cannot be started.
     pub fn restart_node(&mut self, index: usize) -> Result<(), ClusterError> {
-        let program = self.programs.join("heatherweir-node");
-        let instance = &mut self.instances[index];
-        instance.node.kill();
-        instance.node = Process::start(
-            format!("{}-node", instance.vm),
-            &program,
-            instance.node_arguments.clone(),
-            self.dir.path(),
-        )?;
+        self.instances[index].node = None;
+        let instance = &self.instances[index];
+        let node = self.start_node(&instance.vm, &instance.node_arguments)?;
+        self.instances[index].node = Some(node);
         Ok(())
     }
 
@@ -272,11 +348,11 @@
         for instance in &mut self.instances {
             expect_success(&mut instance.upstream)?;
         }
-        for instance in &self.instances {
-            instance.node.terminate()?;
+        for node in self.instances.iter().filter_map(|instance| instance.node.as_ref()) {
+            node.terminate()?;
         }
-        for instance in &mut self.instances {
-            expect_success(&mut instance.node)?;
+        for node in self.instances.iter_mut().filter_map(|instance| instance.node.as_mut()) {
+            expect_success(node)?;
         }
         for control in &self.controls {
             control.process.terminate()?;
@@ -316,7 +392,7 @@
             ("--operator-token-file", token.display().to_string()),
         ]);
         arguments.extend(self.member_arguments.iter().cloned());
-        let program = self.programs.join("heatherweir-control");
+        let program = self.programs.system.join("heatherweir-control");
         let process = Process::start(name, &program, arguments, self.dir.path())?;
         Ok(ControlReplica {
             process,
@@ -327,36 +403,20 @@
         })
     }
 
-    fn start_instances(&mut self) -> Result<(), ClusterError> {
-        for spec in self.deployment.services.clone() {
-            for number in 0..spec.instances {
-                let data_centres = self.deployment.data_centres;
-                let data_centre = data_centres[number % data_centres.len()];
-                let instance = self.start_instance(&spec, number, data_centre)?;
-                self.instances.push(instance);
-            }
-        }
-        Ok(())
-    }
-
     fn start_instance(
         &self,
-        spec: &ServiceSpec,
-        number: usize,
-        data_centre: &str,
+        plan: &InstancePlan,
+        layer: Layer<'_>,
     ) -> Result<Instance, ClusterError> {
-        let vm = format!("{}-{}", spec.name, number + 1);
-        let [caller, egress, peer, node_admin, upstream_listen, upstream_admin] = free_addresses()?;
-        let node_arguments =
-            self.node_arguments(&vm, data_centre, caller, egress, peer, node_admin);
+        let (spec, ports, vm) = (&plan.spec, &plan.ports, &plan.vm);
+        let node_arguments = self.node_arguments(plan);
         let mut upstream_arguments = vec!["upstream".to_owned()];
         upstream_arguments.extend(flags(&[
             ("--vm", vm.clone()),
             ("--service", spec.name.to_owned()),
             ("--profile", spec.profile.to_owned()),
-            ("--listen", upstream_listen.to_string()),
-            ("--admin-listen", upstream_admin.to_string()),
-            ("--egress", egress.to_string()),
+            ("--listen", ports.upstream.to_string()),
+            ("--admin-listen", ports.upstream_admin.to_string()),
             ("--slots", spec.slots.to_string()),
             ("--connections", spec.connections.to_string()),
             ("--service-time-us", spec.service_time_us.to_string()),
@@ -364,55 +424,53 @@
         for call in spec.calls {
             upstream_arguments.extend(flags(&[("--call", (*call).to_owned())]));
         }
-        let log_dir = self.dir.path();
-        let node = Process::start(
-            format!("{vm}-node"),
-            &self.programs.join("heatherweir-node"),
-            node_arguments.clone(),
-            log_dir,
-        )?;
-        let upstream = Process::start(
-            format!("{vm}-upstream"),
-            &self.programs.join("heatherweir-testbed"),
-            upstream_arguments.clone(),
-            log_dir,
-        )?;
+        let mut node = None;
+        match layer {
+            Layer::Direct(targets) => upstream_arguments.extend(targets.iter().cloned()),
+            Layer::Nodes => {
+                upstream_arguments.extend(flags(&[("--egress", ports.egress.to_string())]));
+                node = Some(self.start_node(vm, &node_arguments)?);
+            }
+        }
         Ok(Instance {
-            vm,
+            vm: vm.clone(),
             service: spec.name.to_owned(),
-            data_centre: data_centre.to_owned(),
+            data_centre: plan.data_centre.to_owned(),
             node,
-            upstream,
-            caller,
-            egress,
-            peer,
-            node_admin,
-            upstream_listen,
-            upstream_admin,
+            upstream: self.start_upstream(vm, &upstream_arguments)?,
+            caller: ports.caller,
+            egress: ports.egress,
+            peer: ports.peer,
+            node_admin: ports.node_admin,
+            upstream_listen: ports.upstream,
+            upstream_admin: ports.upstream_admin,
             node_arguments,
             upstream_arguments,
         })
     }
 
-    fn node_arguments(
-        &self,
-        vm: &str,
-        data_centre: &str,
-        caller: SocketAddr,
-        egress: SocketAddr,
-        peer: SocketAddr,
-        admin: SocketAddr,
-    ) -> Vec<String> {
+    fn start_node(&self, vm: &str, arguments: &[String]) -> Result<Process, ProcessError> {
+        let program = self.programs.system.join("heatherweir-node");
+        Process::start(format!("{vm}-node"), &program, arguments.to_vec(), self.dir.path())
+    }
+
+    fn start_upstream(&self, vm: &str, arguments: &[String]) -> Result<Process, ProcessError> {
+        let program = self.programs.fakes.join("heatherweir-testbed");
+        Process::start(format!("{vm}-upstream"), &program, arguments.to_vec(), self.dir.path())
+    }
+
+    fn node_arguments(&self, plan: &InstancePlan) -> Vec<String> {
+        let ports = &plan.ports;
         let mut arguments = flags(&[
-            ("--vm", vm.to_owned()),
-            ("--data-centre", data_centre.to_owned()),
-            ("--caller-listen", caller.to_string()),
-            ("--egress-listen", egress.to_string()),
-            ("--peer-listen", peer.to_string()),
-            ("--admin-listen", admin.to_string()),
+            ("--vm", plan.vm.clone()),
+            ("--data-centre", plan.data_centre.to_owned()),
+            ("--caller-listen", ports.caller.to_string()),
+            ("--egress-listen", ports.egress.to_string()),
+            ("--peer-listen", ports.peer.to_string()),
+            ("--admin-listen", ports.node_admin.to_string()),
         ]);
         let (own, others): (Vec<_>, Vec<_>) =
-            self.controls.iter().partition(|control| control.data_centre == data_centre);
+            self.controls.iter().partition(|control| control.data_centre == plan.data_centre);
         for control in own.into_iter().chain(others) {
             arguments.extend(flags(&[("--control", control.address.to_string())]));
         }
@@ -420,6 +478,43 @@
     }
 }
 
+/// How upstreams call each other.
+enum Layer<'a> {
+    /// Through nodes.
+    Nodes,
+    /// Directly, with these target flags.
+    Direct(&'a [String]),
+}
+
+struct InstancePlan {
+    spec: ServiceSpec,
+    vm: String,
+    data_centre: &'static str,
+    ports: Ports,
+}
+
+struct Ports {
+    caller: SocketAddr,
+    egress: SocketAddr,
+    peer: SocketAddr,
+    node_admin: SocketAddr,
+    upstream: SocketAddr,
+    upstream_admin: SocketAddr,
+}
+
+impl Ports {
+    fn new() -> Result<Self, ProcessError> {
+        Ok(Self {
+            caller: free_address()?,
+            egress: free_address()?,
+            peer: free_address()?,
+            node_admin: free_address()?,
+            upstream: free_address()?,
+            upstream_admin: free_address()?,
+        })
+    }
+}
+
 /// Reads the status of a node.
 pub fn node_status(admin: SocketAddr) -> Option<serde_json::Value> {
     let agent: ureq::Agent =
@@ -436,14 +531,6 @@
     Err(ClusterError::Exit(process.name().to_owned(), status))
 }
 
-fn free_addresses<const N: usize>() -> Result<[SocketAddr; N], ProcessError> {
-    let mut addresses = [SocketAddr::from(([127, 0, 0, 1], 0)); N];
-    for address in &mut addresses {
-        *address = free_address()?;
-    }
-    Ok(addresses)
-}
-
 fn flags(pairs: &[(&str, String)]) -> Vec<String> {
     pairs.iter().flat_map(|(flag, value)| [(*flag).to_owned(), value.clone()]).collect()
 }
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod cluster;
 pub mod deployment;
+pub mod load;
 pub mod process;
 pub mod upstream;
 pub mod upstream_client;
--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -71,7 +71,7 @@
             instance.service,
             instance.data_centre,
             instance.vm,
-            instance.node.pid(),
+            instance.node.as_ref().map_or(0, |node| node.pid()),
             instance.caller,
             instance.egress,
             instance.peer,
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -3,13 +3,16 @@
 mod codegen;
 mod demo;
 mod error;
+mod measure;
 mod tidy;
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 
-use clap::{Arg, ArgAction, Command};
+use clap::{Arg, ArgAction, Command, value_parser};
 
 use crate::error::ChoreError;
+use crate::measure::MeasureSettings;
 
 fn main() -> ExitCode {
     match run() {
@@ -48,11 +51,25 @@
                         .action(ArgAction::SetTrue),
                 ),
         )
+        .subcommand(measure_command())
         .subcommand(Command::new("tidy").about("Checks the source text"))
         .get_matches();
     match matches.subcommand() {
         Some(("codegen", arguments)) if arguments.get_flag("check") => codegen::check(),
         Some(("codegen", _)) => codegen::write(),
+        Some(("measure", arguments)) if arguments.get_flag("list") => {
+            for (name, about) in measure::list() {
+                println!("{name}: {about}");
+            }
+            Ok(())
+        }
+        Some(("measure", arguments)) => measure::run(&MeasureSettings {
+            scenario: daemon::required(arguments, "scenario"),
+            seed: daemon::required(arguments, "seed"),
+            against: daemon::optional(arguments, "against"),
+            json: daemon::optional(arguments, "json"),
+            arms: daemon::values(arguments, "arm"),
+        }),
         Some(("tidy", _)) => tidy::check(),
         Some(("demo", arguments)) => {
             let deployment: String = daemon::required(arguments, "deployment");
@@ -64,3 +81,24 @@
         _ => Ok(()),
     }
 }
+
+fn measure_command() -> Command {
+    let option = |name: &'static str| Arg::new(name).long(name);
+    Command::new("measure")
+        .about("Measures a scenario in every arm")
+        .arg(option("list").help("Lists the scenarios").action(ArgAction::SetTrue))
+        .arg(option("scenario").required_unless_present("list"))
+        .arg(option("seed").value_parser(value_parser!(u64)).default_value("1"))
+        .arg(
+            option("against")
+                .help("Folder of an earlier build's programs")
+                .value_parser(value_parser!(PathBuf)),
+        )
+        .arg(option("json").help("File for the report").value_parser(value_parser!(PathBuf)))
+        .arg(
+            option("arm")
+                .help("Arm to run [default: all]")
+                .value_parser(["direct", "heatherweir", "against"])
+                .action(ArgAction::Append),
+        )
+}
--- /dev/null
+++ b/xtask/src/measure/judge.rs
@@ -0,0 +1,231 @@
+//! Judges a run by what callers and upstreams saw, never by the system's own counters.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use testbed::load::{Ending, Sample};
+use testbed::upstream::UpstreamRecord;
+
+use super::scenario::Scenario;
+
+/// Share of the earlier goodput that counts as recovered.
+const RECOVERED_SHARE: f64 = 0.95;
+const WINDOW: Duration = Duration::from_millis(250);
+const MAX_LATENCY_US: u64 = 60_000_000;
+const SIGNIFICANT_DIGITS: u8 = 3;
+const WARM_UP: Duration = Duration::from_secs(1);
+
+/// Counts of one kind of request.
+#[derive(Debug, Clone, Default)]
+struct KindCounts {
+    name: &'static str,
+    offered: u64,
+    good: u64,
+    not_run: u64,
+    failed: u64,
+    late: u64,
+    wrong: u64,
+    good_in_fault: u64,
+    offered_in_fault: u64,
+}
+
+/// Report of one arm.
+#[derive(Debug)]
+pub struct Report {
+    kinds: Vec<KindCounts>,
+    latency_p50_us: u64,
+    latency_p99_us: u64,
+    goodput_in_fault_per_s: f64,
+    limit_per_s: f64,
+    recovery_ms: Option<u64>,
+    caller_attempts_per_request: f64,
+    runs_per_request: f64,
+    max_runs_of_request: u64,
+    doubled: u64,
+    lost: u64,
+}
+
+impl Report {
+    /// Judges a run.
+    pub fn new(
+        scenario: &Scenario,
+        samples: Vec<Sample>,
+        records: &[(String, UpstreamRecord)],
+    ) -> Self {
+        let runs = runs_by_tag(records, scenario.bottleneck);
+        let charge_runs = runs_by_tag(records, scenario.deployment.charge_service);
+        let latency = read_latency(scenario, &samples);
+        let fault_s = (scenario.fault_until - scenario.fault_from).as_secs_f64();
+        let through = |sample: &&Sample| scenario.kinds[sample.kind].name != "upload";
+        let good_in_fault = samples.iter().filter(through).filter(|sample| {
+            let ended = sample.started + sample.elapsed;
+            sample.ending == Ending::Good
+                && (scenario.fault_from..scenario.fault_until).contains(&ended)
+        });
+        let attempts: u64 = samples.iter().map(|sample| u64::from(sample.attempts)).sum();
+        let keyed = samples.iter().filter(|sample| scenario.kinds[sample.kind].is_keyed);
+        let charged = |sample: &Sample| charge_runs.get(&sample.tag).copied().unwrap_or(0);
+        let total_runs: u64 = runs.values().sum();
+        Self {
+            kinds: count_kinds(scenario, &samples),
+            latency_p50_us: latency.value_at_quantile(0.5),
+            latency_p99_us: latency.value_at_quantile(0.99),
+            goodput_in_fault_per_s: good_in_fault.count() as f64 / fault_s,
+            limit_per_s: scenario.limit_per_s,
+            recovery_ms: recovery_ms(scenario, &samples),
+            caller_attempts_per_request: attempts as f64 / samples.len().max(1) as f64,
+            runs_per_request: total_runs as f64 / runs.len().max(1) as f64,
+            max_runs_of_request: runs.values().copied().max().unwrap_or(0),
+            doubled: keyed.clone().filter(|sample| charged(sample) > 1).count() as u64,
+            lost: keyed
+                .filter(|sample| sample.ending == Ending::Good && charged(sample) == 0)
+                .count() as u64,
+        }
+    }
+
+    /// Prints the report as lines of text.
+    pub fn print(&self, arm: &str) {
+        println!(
+            "arm={arm} goodput_in_fault_per_s={:.1} limit_per_s={:.1} share={:.3} recovery_ms={} \
+             latency_p50_us={} latency_p99_us={} caller_attempts={:.2} runs_per_request={:.2} \
+             max_runs={} doubled={} lost={}",
+            self.goodput_in_fault_per_s,
+            self.limit_per_s,
+            self.goodput_in_fault_per_s / self.limit_per_s,
+            self.recovery_ms.map_or("never".to_owned(), |ms| ms.to_string()),
+            self.latency_p50_us,
+            self.latency_p99_us,
+            self.caller_attempts_per_request,
+            self.runs_per_request,
+            self.max_runs_of_request,
+            self.doubled,
+            self.lost,
+        );
+        for kind in &self.kinds {
+            println!(
+                "  kind={} offered={} good={} good_share={:.4} not_run={} failed={} late={} wrong={} \
+                 good_share_in_fault={:.4}",
+                kind.name,
+                kind.offered,
+                kind.good,
+                share(kind.good, kind.offered),
+                kind.not_run,
+                kind.failed,
+                kind.late,
+                kind.wrong,
+                share(kind.good_in_fault, kind.offered_in_fault),
+            );
+        }
+    }
+
+    /// Returns the report as JSON.
+    pub fn to_json(&self, arm: &str) -> serde_json::Value {
+        let kinds = self.kinds.iter().map(|kind| {
+            serde_json::json!({
+                "kind": kind.name,
+                "offered": kind.offered,
+                "good": kind.good,
+                "not_run": kind.not_run,
+                "failed": kind.failed,
+                "late": kind.late,
+                "wrong": kind.wrong,
+                "good_share_in_fault": share(kind.good_in_fault, kind.offered_in_fault),
+            })
+        });
+        serde_json::json!({
+            "arm": arm,
+            "goodput_in_fault_per_s": self.goodput_in_fault_per_s,
+            "limit_per_s": self.limit_per_s,
+            "recovery_ms": self.recovery_ms,
+            "latency_p50_us": self.latency_p50_us,
+            "latency_p99_us": self.latency_p99_us,
+            "caller_attempts_per_request": self.caller_attempts_per_request,
+            "runs_per_request": self.runs_per_request,
+            "max_runs_of_request": self.max_runs_of_request,
+            "doubled": self.doubled,
+            "lost": self.lost,
+            "kinds": kinds.collect::<Vec<_>>(),
+        })
+    }
+}
+
+fn share(part: u64, whole: u64) -> f64 {
+    part as f64 / whole.max(1) as f64
+}
+
+fn runs_by_tag(records: &[(String, UpstreamRecord)], service: &str) -> HashMap<String, u64> {
+    let mut runs = HashMap::new();
+    for (_, record) in records.iter().filter(|(name, _)| name == service) {
+        for (tag, count) in &record.runs {
+            *runs.entry(tag.clone()).or_insert(0) += count;
+        }
+    }
+    runs
+}
+
+fn count_kinds(scenario: &Scenario, samples: &[Sample]) -> Vec<KindCounts> {
+    let mut kinds: Vec<KindCounts> = scenario
+        .kinds
+        .iter()
+        .map(|kind| KindCounts { name: kind.name, ..KindCounts::default() })
+        .collect();
+    for sample in samples {
+        let counts = &mut kinds[sample.kind];
+        counts.offered += 1;
+        let in_fault = (scenario.fault_from..scenario.fault_until).contains(&sample.started);
+        counts.offered_in_fault += u64::from(in_fault);
+        match sample.ending {
+            Ending::Good => {
+                counts.good += 1;
+                counts.good_in_fault += u64::from(in_fault);
+            }
+            Ending::NotRun => counts.not_run += 1,
+            Ending::Failed => counts.failed += 1,
+            Ending::Late => counts.late += 1,
+            Ending::Wrong => counts.wrong += 1,
+        }
+    }
+    kinds
+}
+
+/// Latency of good reads, outside the fault unless there is none.
+fn read_latency(scenario: &Scenario, samples: &[Sample]) -> Histogram<u64> {
+    let Ok(mut histogram) = Histogram::new_with_max(MAX_LATENCY_US, SIGNIFICANT_DIGITS) else {
+        unreachable!("the bounds are in the allowed range");
+    };
+    let is_measured = |sample: &&Sample| {
+        let is_before = sample.started < scenario.fault_from;
+        let is_calm = matches!(scenario.fault, super::scenario::Fault::None) || is_before;
+        sample.kind == 0 && sample.ending == Ending::Good && sample.started > WARM_UP && is_calm
+    };
+    for sample in samples.iter().filter(is_measured) {
+        histogram.saturating_record(sample.elapsed.as_micros() as u64);
+    }
+    histogram
+}
+
+/// Time from the fault's end until the share of good requests stays at its earlier level.
+fn recovery_ms(scenario: &Scenario, samples: &[Sample]) -> Option<u64> {
+    let total: Duration = scenario.phases.iter().map(|phase| phase.duration).sum();
+    let baseline = good_share(samples, WARM_UP, scenario.fault_from)?;
+    let mut recovered_at = scenario.fault_until;
+    let mut from = scenario.fault_until;
+    let mut is_good_at_end = true;
+    while from + WINDOW <= total {
+        let good = good_share(samples, from, from + WINDOW).unwrap_or(1.0);
+        is_good_at_end = good >= RECOVERED_SHARE * baseline;
+        if !is_good_at_end {
+            recovered_at = from + WINDOW;
+        }
+        from += WINDOW;
+    }
+    is_good_at_end.then(|| (recovered_at - scenario.fault_until).as_millis() as u64)
+}
+
+fn good_share(samples: &[Sample], from: Duration, until: Duration) -> Option<f64> {
+    let started = samples.iter().filter(|sample| (from..until).contains(&sample.started));
+    let offered = started.clone().count();
+    let good = started.filter(|sample| sample.ending == Ending::Good).count();
+    (offered > 0).then(|| good as f64 / offered as f64)
+}
--- /dev/null
+++ b/xtask/src/measure/scenario.rs
@@ -0,0 +1,250 @@
+//! Scenarios: a deployment, a load and a fault.
+
+use std::time::Duration;
+
+use testbed::deployment::Deployment;
+use testbed::load::{Phase, RequestKind};
+use ureq::http::Method;
+
+use crate::error::ChoreError;
+
+/// Service time of the bottleneck in measurements, scaled so that one machine carries the load.
+const BOTTLENECK_SERVICE_TIME_US: u64 = 120_000;
+const US_PER_S: f64 = 1_000_000.0;
+
+/// What goes wrong.
+#[derive(Debug, Clone)]
+pub enum Fault {
+    /// Nothing.
+    None,
+    /// Every instance of a service slows down.
+    Slow {
+        /// Service.
+        service: &'static str,
+        /// Factor on its service time.
+        factor: u64,
+    },
+    /// Instances are killed and start again, cold, when the fault ends.
+    Kill {
+        /// Service.
+        service: &'static str,
+        /// Number of instances.
+        count: usize,
+    },
+    /// Instances leave in an orderly way and come back, one after another.
+    Leave {
+        /// Services.
+        services: &'static [&'static str],
+    },
+    /// Calls of a service fail after they ran.
+    Fail {
+        /// Service.
+        service: &'static str,
+        /// Share of calls, in percent.
+        percent: u32,
+    },
+}
+
+/// One scenario.
+#[derive(Debug, Clone)]
+pub struct Scenario {
+    /// Name.
+    pub name: &'static str,
+    /// What happens.
+    pub about: &'static str,
+    /// Deployment.
+    pub deployment: Deployment,
+    /// Kinds of requests.
+    pub kinds: Vec<RequestKind>,
+    /// Rates.
+    pub phases: Vec<Phase>,
+    /// Fault.
+    pub fault: Fault,
+    /// Start of the fault.
+    pub fault_from: Duration,
+    /// End of the fault.
+    pub fault_until: Duration,
+    /// Service that limits the goodput.
+    pub bottleneck: &'static str,
+    /// Goodput that the bottleneck allows during the fault, in requests a second.
+    pub limit_per_s: f64,
+}
+
+/// Returns the names of all scenarios with what happens in each.
+pub fn list() -> Vec<(&'static str, &'static str)> {
+    all().iter().map(|scenario| (scenario.name, scenario.about)).collect()
+}
+
+/// Returns a scenario.
+pub fn find(name: &str) -> Result<Scenario, ChoreError> {
+    let found = all().into_iter().find(|scenario| scenario.name == name);
+    found.ok_or_else(|| ChoreError::Check(format!("there is no scenario {name}")))
+}
+
+fn all() -> Vec<Scenario> {
+    vec![
+        steady("steady", attica()),
+        steady("steady-accra", accra()),
+        deep_slow("deep-slow", attica(), "seires"),
+        deep_slow("deep-slow-accra", accra(), "spec-tables"),
+        upstream_loss(),
+        leaving(),
+        fan_out(),
+    ]
+}
+
+fn attica() -> Deployment {
+    scaled(Deployment::attica(), "seires")
+}
+
+fn accra() -> Deployment {
+    scaled(Deployment::accra(), "spec-tables")
+}
+
+fn scaled(mut deployment: Deployment, bottleneck: &str) -> Deployment {
+    for service in deployment.services.iter_mut().filter(|service| service.name == bottleneck) {
+        service.service_time_us = BOTTLENECK_SERVICE_TIME_US;
+    }
+    deployment
+}
+
+/// Returns the calls a second that a service can serve.
+fn capacity_per_s(deployment: &Deployment, service: &str) -> f64 {
+    let specs = deployment.services.iter().filter(|spec| spec.name == service);
+    let capacity = specs
+        .map(|spec| (spec.instances * spec.slots) as f64 * US_PER_S / spec.service_time_us as f64);
+    capacity.sum()
+}
+
+fn kinds(deployment: &Deployment) -> Vec<RequestKind> {
+    let is_attica = deployment.name == "attica";
+    let (read, charge) = if is_attica { ("/browse", "/rentals") } else { ("/pages", "/purchases") };
+    let (read_name, charge_name) =
+        if is_attica { ("browse", "rental") } else { ("page", "purchase") };
+    vec![
+        RequestKind {
+            name: read_name,
+            method: Method::GET,
+            path: read,
+            weight: 95,
+            is_keyed: false,
+            body_bytes: 0,
+        },
+        RequestKind {
+            name: charge_name,
+            method: Method::POST,
+            path: charge,
+            weight: 3,
+            is_keyed: true,
+            body_bytes: 64,
+        },
+        RequestKind {
+            name: "upload",
+            method: Method::PUT,
+            path: "/uploads",
+            weight: 2,
+            is_keyed: false,
+            body_bytes: 16 * 1024,
+        },
+    ]
+}
+
+fn phase(duration_s: u64, rate_per_s: f64) -> Phase {
+    Phase { duration: Duration::from_secs(duration_s), rate_per_s }
+}
+
+fn steady(name: &'static str, deployment: Deployment) -> Scenario {
+    let bottleneck = if deployment.name == "attica" { "seires" } else { "spec-tables" };
+    let capacity = capacity_per_s(&deployment, bottleneck);
+    Scenario {
+        name,
+        about: "half of capacity",
+        kinds: kinds(&deployment),
+        phases: vec![phase(10, capacity / 2.0)],
+        fault: Fault::None,
+        fault_from: Duration::from_secs(2),
+        fault_until: Duration::from_secs(10),
+        bottleneck,
+        limit_per_s: capacity,
+        deployment,
+    }
+}
+
+fn deep_slow(name: &'static str, deployment: Deployment, bottleneck: &'static str) -> Scenario {
+    const FACTOR: u64 = 10;
+    let capacity = capacity_per_s(&deployment, bottleneck);
+    Scenario {
+        name,
+        about: "surge to twice capacity while a deep service slows 10x for 10 s",
+        kinds: kinds(&deployment),
+        phases: vec![phase(5, capacity / 2.0), phase(10, capacity * 2.0), phase(8, capacity / 2.0)],
+        fault: Fault::Slow { service: bottleneck, factor: FACTOR },
+        fault_from: Duration::from_secs(5),
+        fault_until: Duration::from_secs(15),
+        bottleneck,
+        limit_per_s: capacity / FACTOR as f64,
+        deployment,
+    }
+}
+
+fn upstream_loss() -> Scenario {
+    let deployment = attica();
+    let capacity = capacity_per_s(&deployment, "seires");
+    Scenario {
+        name: "upstream-loss",
+        about: "a third of a deep service killed in a surge, returns cold",
+        kinds: kinds(&deployment),
+        phases: vec![phase(5, capacity / 2.0), phase(10, capacity), phase(8, capacity / 2.0)],
+        fault: Fault::Kill { service: "seires", count: 1 },
+        fault_from: Duration::from_secs(5),
+        fault_until: Duration::from_secs(15),
+        bottleneck: "seires",
+        limit_per_s: capacity * 2.0 / 3.0,
+        deployment,
+    }
+}
+
+fn leaving() -> Scenario {
+    let deployment = attica();
+    let capacity = capacity_per_s(&deployment, "seires");
+    Scenario {
+        name: "leaving",
+        about: "instances leave and join one after another under load",
+        kinds: kinds(&deployment),
+        phases: vec![phase(30, capacity / 3.0)],
+        fault: Fault::Leave { services: &["vitrina", "seires"] },
+        fault_from: Duration::from_secs(3),
+        fault_until: Duration::from_secs(25),
+        bottleneck: "seires",
+        limit_per_s: capacity * 2.0 / 3.0,
+        deployment,
+    }
+}
+
+fn fan_out() -> Scenario {
+    let mut deployment = attica();
+    let calls: [(&str, &'static [&'static str]); 3] = [
+        ("vitrina", &["/browse=seires*3"]),
+        ("seires", &["/browse=tameio*3"]),
+        ("tameio", &["/browse=apothiki*3"]),
+    ];
+    for (name, rules) in calls {
+        for service in deployment.services.iter_mut().filter(|service| service.name == name) {
+            service.calls = rules;
+            service.service_time_us = 1_000;
+        }
+    }
+    deployment.profile_dir = deployment.profile_dir.join("../fan-out");
+    Scenario {
+        name: "fan-out",
+        about: "each hop makes 3 calls, 4 deep, the deepest service failing half of them",
+        kinds: kinds(&deployment).into_iter().take(1).collect(),
+        phases: vec![phase(15, 20.0)],
+        fault: Fault::Fail { service: "apothiki", percent: 50 },
+        fault_from: Duration::from_secs(3),
+        fault_until: Duration::from_secs(12),
+        bottleneck: "apothiki",
+        limit_per_s: 20.0,
+        deployment,
+    }
+}
