Abandon a long attempt only when the same route is known to be faster elsewhere

Ruled out: the limit (40 all along) and the queue. Tried first: cutting off only when another endpoint of the service had answered an attempt that started later. Conclusion: a fixed attempt timeout turns a slow service into a dead one; slowness needs a comparison.

--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use daemon::Clock;
-use model::{Outcome, Reason, Route, Vm, VmName};
+use model::{Outcome, Reason, Route, RouteName, Vm, VmName};
 use policy::US_PER_MS;
 use policy::retry::{self, AttemptLimits, FailedAttempt};
 use policy::routing::{AttemptResult, ReportedLoad};
@@ -18,6 +18,9 @@
 use crate::routes::{PeerEndpoint, RouteTable, ServiceRoutes};
 use crate::stats::{Counter, Stats};
 
+/// Interval at which a long attempt is compared with others.
+const ATTEMPT_RECHECK: Duration = Duration::from_millis(50);
+
 /// Parts that every call shares.
 pub(crate) struct Dispatcher {
     pub(crate) clock: Clock,
@@ -38,8 +41,9 @@
 }
 
 /// What the callee's profile says of a call.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub(crate) struct RoutePolicy {
+    pub(crate) name: RouteName,
     pub(crate) is_idempotent: bool,
     pub(crate) attempt_timeout_us: u64,
     pub(crate) budget_percent: u32,
@@ -55,6 +59,7 @@
         let path = head.path.split('?').next().unwrap_or_default();
         let route = profile.route(head.method.as_str(), path).ok_or(Reason::UnknownRoute)?;
         let policy = RoutePolicy {
+            name: route.name.clone(),
             is_idempotent: route.is_idempotent,
             attempt_timeout_us: profile.retries.attempt_timeout_ms * US_PER_MS,
             budget_percent: profile.retries.budget_percent,
@@ -80,7 +85,7 @@
                 return Err(CallFailure::not_run(Reason::NoEndpoint, 0, Some(body)));
             };
             tried.push(endpoint.vm.clone());
-            let failure = match self.attempt(&call, &routes, &endpoint, body).await {
+            let failure = match self.attempt(&call, &routes, &tried, &endpoint, body).await {
                 Ok(answer) => {
                     routes.budget().record_success();
                     return Ok(answer);
@@ -108,6 +113,7 @@
         &self,
         call: &OutboundCall,
         routes: &ServiceRoutes,
+        tried: &[VmName],
         endpoint: &PeerEndpoint,
         body: CallBody,
     ) -> Result<Answer, CallFailure> {
@@ -115,12 +121,17 @@
         let lent = call.parent.ledger().lend();
         let head = CallHead { retry_allowance: lent, ..call.head.clone() };
         let started_us = self.clock.now_us();
-        let mut tracker =
-            AttemptTracker { clock: self.clock, routes, vm: &endpoint.vm, is_done: false };
-        let limit = self.attempt_limit(call);
+        let mut tracker = AttemptTracker {
+            clock: self.clock,
+            routes,
+            vm: &endpoint.vm,
+            route: &call.route.name,
+            is_done: false,
+        };
         let replay = body.replay();
-        let sent = tokio::time::timeout(limit, self.send(endpoint, head, body)).await;
-        let result = sent.unwrap_or_else(|_| {
+        let send = self.send(endpoint, head, body);
+        let sent = self.limit_attempt(call, routes, tried, started_us, send).await;
+        let result = sent.unwrap_or_else(|| {
             if endpoint.vm != self.vm.name {
                 self.peers.reset(endpoint.address);
             }
@@ -151,14 +162,33 @@
         self.peers.forward(endpoint.address, &head, left, body).await
     }
 
+    /// Waits for an attempt until the deadline, or until it is known that another endpoint is faster.
+    ///
     /// An attempt of a call that may not run twice gets all the time there is.
-    fn attempt_limit(&self, call: &OutboundCall) -> Duration {
+    async fn limit_attempt<T>(
+        &self,
+        call: &OutboundCall,
+        routes: &ServiceRoutes,
+        tried: &[VmName],
+        started_us: u64,
+        send: impl Future<Output = T>,
+    ) -> Option<T> {
         let left_us = call.head.deadline_us.saturating_sub(self.clock.now_us());
-        let limit_us = match call.route.is_idempotent {
-            true => left_us.min(call.route.attempt_timeout_us),
-            false => left_us,
-        };
-        Duration::from_micros(limit_us)
+        let deadline = tokio::time::sleep(Duration::from_micros(left_us));
+        let mut pause = Duration::from_micros(call.route.attempt_timeout_us);
+        tokio::pin!(send, deadline);
+        loop {
+            tokio::select! {
+                sent = &mut send => return Some(sent),
+                () = &mut deadline => return None,
+                () = tokio::time::sleep(pause), if call.route.is_idempotent => {
+                    if routes.router().has_faster(tried, &call.route.name, started_us) {
+                        return None;
+                    }
+                    pause = ATTEMPT_RECHECK;
+                }
+            }
+        }
     }
 
     fn timeout_reason(&self, call: &OutboundCall) -> Reason {
@@ -213,6 +243,7 @@
     clock: Clock,
     routes: &'a ServiceRoutes,
     vm: &'a VmName,
+    route: &'a RouteName,
     is_done: bool,
 }
 
@@ -229,7 +260,7 @@
             Err(failure) => attempt_result(failure),
         };
         let mut router = self.routes.router();
-        router.finish(now_us, self.vm, ended);
+        router.finish(now_us, self.vm, self.route, ended);
         if let Some(load) = load {
             router.report(now_us, self.vm, reported(load));
             if load.is_leaving {
@@ -243,7 +274,7 @@
     fn drop(&mut self) {
         if !self.is_done {
             let now_us = self.clock.now_us();
-            self.routes.router().finish(now_us, self.vm, AttemptResult::Cancelled);
+            self.routes.router().finish(now_us, self.vm, self.route, AttemptResult::Cancelled);
         }
     }
 }
--- a/crates/policy/src/routing.rs
+++ b/crates/policy/src/routing.rs
@@ -5,7 +5,7 @@
 //! is probed with single calls.
 
 use indexmap::IndexMap;
-use model::{DataCentreName, VmName};
+use model::{DataCentreName, RouteName, VmName};
 
 use crate::{US_PER_MS, US_PER_S};
 
@@ -67,6 +67,8 @@
     ejected_until_us: u64,
     refused_until_us: u64,
     is_probing: bool,
+    /// Latest start of an answered attempt of each route, in microseconds.
+    answered_start_us: IndexMap<RouteName, u64>,
 }
 
 impl Candidate {
@@ -82,6 +84,7 @@
             ejected_until_us: 0,
             refused_until_us: 0,
             is_probing: false,
+            answered_start_us: IndexMap::new(),
         }
     }
 
@@ -168,7 +171,7 @@
     }
 
     /// Takes the end of an attempt into account.
-    pub fn finish(&mut self, now_us: u64, vm: &VmName, result: AttemptResult) {
+    pub fn finish(&mut self, now_us: u64, vm: &VmName, route: &RouteName, result: AttemptResult) {
         let max_ejected = (self.candidates.len() / ENDPOINTS_PER_EJECTION).max(1);
         let ejected = self.candidates.values().filter(|c| c.is_ejected(now_us)).count();
         let Some(candidate) = self.candidates.get_mut(vm) else {
@@ -178,6 +181,9 @@
         candidate.is_probing = false;
         match result {
             AttemptResult::Answered { latency_us } => {
+                let started_us = now_us.saturating_sub(latency_us);
+                let latest = candidate.answered_start_us.entry(route.clone()).or_insert(0);
+                *latest = started_us.max(*latest);
                 const SMOOTHING: f64 = 0.2;
                 let sample = latency_us as f64;
                 candidate.mean_latency_us += SMOOTHING * (sample - candidate.mean_latency_us);
@@ -209,6 +215,19 @@
         }
     }
 
+    /// Returns whether an untried endpoint answered an attempt of a route that started after a time.
+    ///
+    /// Without such evidence a long attempt says that the service is slow, not that the endpoint
+    /// failed, and abandoning it would throw its work away.
+    pub fn has_faster(&self, tried: &[VmName], route: &RouteName, started_us: u64) -> bool {
+        let is_faster = |(vm, candidate): (&VmName, &Candidate)| {
+            !candidate.is_leaving
+                && !tried.contains(vm)
+                && candidate.answered_start_us.get(route).is_some_and(|at_us| *at_us > started_us)
+        };
+        self.candidates.iter().any(is_faster)
+    }
+
     /// Marks an endpoint as leaving, as it said itself with an answer.
     pub fn mark_leaving(&mut self, vm: &VmName) {
         if let Some(candidate) = self.candidates.get_mut(vm) {
