Keep slots for critical calls by Little's law; let them wait as long as they can finish

The harness took ports from the range of outgoing connections and sometimes lost one before its program started; ports now come from below that range.

--- a/crates/node/src/admission_gate.rs
+++ b/crates/node/src/admission_gate.rs
@@ -5,20 +5,26 @@
 use std::time::Duration;
 
 use daemon::Clock;
-use model::Reason;
+use model::{Class, Reason};
 use policy::admission::{
-    Admission, AdmissionConfig, AdmissionLoad, Arrival, Decision, Event, Ticket,
+    Admission, AdmissionConfig, AdmissionLoad, Arrival, Decision, Event, RunningCall, Ticket,
 };
 use policy::limit::CallSample;
 use tokio::sync::oneshot;
 
 const POLL_SLACK: Duration = Duration::from_millis(1);
 
-type Verdict = Result<(), Reason>;
+/// The admitted call, or why it is refused.
+type Verdict = Result<RunningCall, Reason>;
+
+struct Waiter {
+    class: Class,
+    sender: oneshot::Sender<Verdict>,
+}
 
 struct Gate {
     admission: Admission,
-    waiters: HashMap<Ticket, oneshot::Sender<Verdict>>,
+    waiters: HashMap<Ticket, Waiter>,
     next_ticket: Ticket,
 }
 
@@ -27,13 +33,19 @@
     fn deliver(&mut self, now_us: u64, events: Vec<Event>) {
         let mut events = events;
         while let Some(event) = events.pop() {
-            let (ticket, verdict) = match event {
-                Event::Admit(ticket) => (ticket, Ok(())),
-                Event::Refuse(ticket, reason) => (ticket, Err(reason)),
-            };
-            let sent = self.waiters.remove(&ticket).map(|waiter| waiter.send(verdict));
-            if verdict.is_ok() && !matches!(sent, Some(Ok(()))) {
-                events.extend(self.admission.complete(now_us, CallSample::Ignored));
+            match event {
+                Event::Admit(ticket) => {
+                    let Some(waiter) = self.waiters.remove(&ticket) else { continue };
+                    let call = RunningCall { class: waiter.class, admitted_us: now_us };
+                    if waiter.sender.send(Ok(call)).is_err() {
+                        events.extend(self.admission.complete(now_us, call, CallSample::Ignored));
+                    }
+                }
+                Event::Refuse(ticket, reason) => {
+                    let waiter = self.waiters.remove(&ticket);
+                    // A waiter that is gone needs no verdict.
+                    let _ = waiter.map(|waiter| waiter.sender.send(Err(reason)));
+                }
             }
         }
     }
@@ -84,14 +96,17 @@
             gate.next_ticket += 1;
             let ticket = gate.next_ticket;
             let (sender, verdict) = oneshot::channel();
-            gate.waiters.insert(ticket, sender);
+            gate.waiters.insert(ticket, Waiter { class: arrival.class, sender });
             let (decision, events) = gate.admission.offer(now_us, Arrival { ticket, ..arrival });
             if decision != Decision::Queue {
                 gate.waiters.remove(&ticket);
             }
             gate.deliver(now_us, events);
             match decision {
-                Decision::Admit => return Ok(self.permit(now_us)),
+                Decision::Admit => {
+                    let call = RunningCall { class: arrival.class, admitted_us: now_us };
+                    return Ok(self.permit(call));
+                }
                 Decision::Refuse(reason) => return Err(reason),
                 Decision::Queue => (ticket, verdict),
             }
@@ -99,11 +114,11 @@
         let mut waiting = Waiting { gate: self.clone(), ticket, verdict, is_done: false };
         let verdict = waiting.verdict(arrival.deadline_us).await;
         waiting.is_done = true;
-        verdict.map(|()| self.permit(self.clock.now_us()))
+        verdict.map(|call| self.permit(call))
     }
 
-    fn permit(&self, now_us: u64) -> Permit {
-        Permit { gate: self.clone(), started_us: now_us, is_settled: false }
+    fn permit(&self, call: RunningCall) -> Permit {
+        Permit { gate: self.clone(), call, started_us: call.admitted_us, is_settled: false }
     }
 
     fn poll(&self) {
@@ -113,10 +128,10 @@
         gate.deliver(now_us, events);
     }
 
-    fn complete(&self, sample: CallSample) {
+    fn complete(&self, call: RunningCall, sample: CallSample) {
         let now_us = self.clock.now_us();
         let mut gate = self.lock();
-        let events = gate.admission.complete(now_us, sample);
+        let events = gate.admission.complete(now_us, call, sample);
         gate.deliver(now_us, events);
     }
 
@@ -156,8 +171,11 @@
         let mut gate = self.gate.lock();
         gate.waiters.remove(&self.ticket);
         let is_queued = gate.admission.cancel(self.ticket);
-        if !is_queued && self.verdict.try_recv() == Ok(Ok(())) {
-            let events = gate.admission.complete(now_us, CallSample::Ignored);
+        if is_queued {
+            return;
+        }
+        if let Ok(Ok(call)) = self.verdict.try_recv() {
+            let events = gate.admission.complete(now_us, call, CallSample::Ignored);
             gate.deliver(now_us, events);
         }
     }
@@ -166,6 +184,7 @@
 /// Slot of an admitted call. Dropping it frees the slot.
 pub(crate) struct Permit {
     gate: AdmissionGate,
+    call: RunningCall,
     started_us: u64,
     is_settled: bool,
 }
@@ -189,7 +208,7 @@
 
     fn settle(&mut self, sample: CallSample) {
         self.is_settled = true;
-        self.gate.complete(sample);
+        self.gate.complete(self.call, sample);
     }
 }
 
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -1,7 +1,8 @@
 //! Admission at the node beside an upstream: a working limit and a short queue ordered by class.
 //!
-//! A call that cannot finish in its remaining time is refused on arrival. A full queue gives way to
-//! a higher class. Within a class the earlier admission stamp goes first, so a chain finishes what
+//! A call that cannot finish in its remaining time is refused on arrival. Lower classes wait for a
+//! short time only, critical ones as long as they can still finish. A full queue gives way to a
+//! higher class. Within a class the earlier admission stamp goes first, so a chain finishes what
 //! it has begun.
 
 use std::collections::BTreeMap;
@@ -9,6 +10,7 @@
 use model::{Class, Reason};
 
 use crate::limit::{AdaptiveLimit, CallSample, LimitConfig};
+use crate::reserve::CriticalReserve;
 
 /// Longest queue, as a multiple of the limit.
 const QUEUE_PER_LIMIT: u32 = 4;
@@ -71,7 +73,26 @@
 #[derive(Debug, Clone, Copy)]
 struct Waiting {
     class: Class,
-    expires_us: u64,
+    queued_us: u64,
+    deadline_us: u64,
+}
+
+/// Time that one more call needs, and its bounds.
+#[derive(Debug, Clone, Copy)]
+struct WaitLimits {
+    service_us: u64,
+    max_queue_delay_us: u64,
+}
+
+impl Waiting {
+    /// Returns whether the call cannot finish any more, or waited for its share.
+    fn is_expired(&self, now_us: u64, limits: WaitLimits) -> bool {
+        if now_us + limits.service_us >= self.deadline_us {
+            return true;
+        }
+        // Higher classes go first, so their queue stays short unless they alone are too many.
+        self.class < Class::Critical && now_us >= self.queued_us + limits.max_queue_delay_us
+    }
 }
 
 /// Counts of one admission controller.
@@ -85,12 +106,56 @@
     pub queued: u32,
 }
 
+/// A call that holds a slot.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RunningCall {
+    /// Importance.
+    pub class: Class,
+    /// When it was admitted, in microseconds.
+    pub admitted_us: u64,
+}
+
+impl RunningCall {
+    fn is_critical(&self) -> bool {
+        self.class >= Class::Critical
+    }
+}
+
+#[derive(Debug, Default)]
+struct RunningCalls {
+    count: u32,
+    lower_count: u32,
+    admitted_sum_us: u64,
+}
+
+impl RunningCalls {
+    fn add(&mut self, call: RunningCall) {
+        self.count += 1;
+        self.lower_count += u32::from(!call.is_critical());
+        self.admitted_sum_us += call.admitted_us;
+    }
+
+    fn remove(&mut self, call: RunningCall) {
+        self.count = self.count.saturating_sub(1);
+        self.lower_count = self.lower_count.saturating_sub(u32::from(!call.is_critical()));
+        self.admitted_sum_us = self.admitted_sum_us.saturating_sub(call.admitted_us);
+    }
+
+    fn mean_age_us(&self, now_us: u64) -> u64 {
+        match self.count {
+            0 => 0,
+            count => now_us.saturating_sub(self.admitted_sum_us / u64::from(count)),
+        }
+    }
+}
+
 /// Admission controller of one upstream.
 #[derive(Debug)]
 pub struct Admission {
     config: AdmissionConfig,
     limit: AdaptiveLimit,
-    in_flight: u32,
+    running: RunningCalls,
+    reserve: CriticalReserve,
     queues: [BTreeMap<QueueKey, Waiting>; Class::ALL.len()],
     grants_since_floor: u32,
 }
@@ -101,7 +166,8 @@
         Self {
             config,
             limit: AdaptiveLimit::new(config.limit, now_us),
-            in_flight: 0,
+            running: RunningCalls::default(),
+            reserve: CriticalReserve::new(),
             queues: Default::default(),
             grants_since_floor: 0,
         }
@@ -124,12 +190,17 @@
         if arrival.deadline_us <= now_us {
             return (Decision::Refuse(Reason::DeadlineExceeded), events);
         }
-        if self.in_flight < self.limit.current(now_us) && self.queued() == 0 {
-            self.in_flight += 1;
+        if arrival.class >= Class::Critical {
+            self.reserve.record_arrival(now_us);
+        }
+        if self.queued() == 0 && self.has_slot(now_us, arrival.class) {
+            self.running.add(RunningCall { class: arrival.class, admitted_us: now_us });
             return (Decision::Admit, events);
         }
-        let expires_us = self.queue_expiry(now_us, &arrival);
-        if self.expected_wait_us(now_us, &arrival) > expires_us.saturating_sub(now_us) {
+        let waiting =
+            Waiting { class: arrival.class, queued_us: now_us, deadline_us: arrival.deadline_us };
+        let granted_us = now_us + self.expected_wait_us(now_us, &arrival);
+        if waiting.is_expired(granted_us, self.wait_limits(now_us)) {
             return (Decision::Refuse(Reason::Overloaded), events);
         }
         if self.queued() >= self.queue_capacity(now_us) {
@@ -139,15 +210,14 @@
             }
         }
         let key = QueueKey { admitted_unix_us: arrival.admitted_unix_us, ticket: arrival.ticket };
-        let waiting = Waiting { class: arrival.class, expires_us };
         self.queues[arrival.class.rank() as usize].insert(key, waiting);
         self.grant(now_us, &mut events);
         (Decision::Queue, events)
     }
 
     /// Ends a running call.
-    pub fn complete(&mut self, now_us: u64, sample: CallSample) -> Vec<Event> {
-        self.in_flight = self.in_flight.saturating_sub(1);
+    pub fn complete(&mut self, now_us: u64, call: RunningCall, sample: CallSample) -> Vec<Event> {
+        self.running.remove(call);
         self.limit.record(now_us, sample);
         self.poll(now_us)
     }
@@ -184,7 +254,7 @@
     /// Returns the present counts.
     pub fn load(&self, now_us: u64) -> AdmissionLoad {
         AdmissionLoad {
-            in_flight: self.in_flight,
+            in_flight: self.running.count,
             limit: self.limit.current(now_us),
             queued: self.queued(),
         }
@@ -204,9 +274,29 @@
         (self.limit.current(now_us) * QUEUE_PER_LIMIT).max(MIN_QUEUE)
     }
 
-    fn queue_expiry(&self, now_us: u64, arrival: &Arrival) -> u64 {
-        let latest_start_us = arrival.deadline_us.saturating_sub(self.limit.mean_service_us());
-        latest_start_us.min(now_us + self.config.max_queue_delay_us)
+    /// Returns whether a call of a class may take a free slot.
+    fn has_slot(&self, now_us: u64, class: Class) -> bool {
+        let limit = self.limit.current(now_us);
+        if self.running.count >= limit || class >= Class::Critical {
+            return self.running.count < limit;
+        }
+        let reserved = self.reserve.slots(now_us, self.expected_service_us(now_us), limit);
+        self.running.lower_count < limit - reserved
+    }
+
+    fn wait_limits(&self, now_us: u64) -> WaitLimits {
+        WaitLimits {
+            service_us: self.expected_service_us(now_us),
+            max_queue_delay_us: self.config.max_queue_delay_us,
+        }
+    }
+
+    /// Estimates the service time, also while a slowdown keeps all calls from ending.
+    ///
+    /// The mean age of running calls is half of their whole time where they start evenly.
+    fn expected_service_us(&self, now_us: u64) -> u64 {
+        let mean_age_us = self.running.mean_age_us(now_us);
+        self.limit.mean_service_us().max(mean_age_us * 3 / 2)
     }
 
     /// Estimates the wait behind queued calls that go first.
@@ -216,7 +306,7 @@
         let stamp = QueueKey { admitted_unix_us: arrival.admitted_unix_us, ticket: 0 };
         let earlier = self.queues[rank].range(..stamp).count();
         let limit = u64::from(self.limit.current(now_us).max(1));
-        (higher + earlier) as u64 * self.limit.mean_service_us() / limit
+        (higher + earlier) as u64 * self.expected_service_us(now_us) / limit
     }
 
     fn evict_below(&mut self, class: Class) -> Option<Ticket> {
@@ -227,9 +317,10 @@
 
     fn expire(&mut self, now_us: u64) -> Vec<Event> {
         let mut events = Vec::new();
+        let limits = self.wait_limits(now_us);
         for queue in &mut self.queues {
             queue.retain(|key, waiting| {
-                let is_kept = waiting.expires_us > now_us;
+                let is_kept = !waiting.is_expired(now_us, limits);
                 if !is_kept {
                     events.push(Event::Refuse(key.ticket, Reason::Overloaded));
                 }
@@ -240,24 +331,25 @@
     }
 
     fn grant(&mut self, now_us: u64, events: &mut Vec<Event>) {
-        let limit = self.limit.current(now_us);
-        while self.in_flight < limit {
-            let Some(ticket) = self.pop_next() else {
-                return;
-            };
-            self.in_flight += 1;
-            events.push(Event::Admit(ticket));
+        while let Some(rank) = self.next_rank(now_us) {
+            let Some((key, waiting)) = self.queues[rank].pop_first() else { return };
+            self.running.add(RunningCall { class: waiting.class, admitted_us: now_us });
+            events.push(Event::Admit(key.ticket));
         }
     }
 
-    fn pop_next(&mut self) -> Option<Ticket> {
+    /// Returns the class that takes the next free slot, by its rank.
+    fn next_rank(&mut self, now_us: u64) -> Option<usize> {
         let lowest = self.queues.iter().position(|queue| !queue.is_empty())?;
         let highest = self.queues.iter().rposition(|queue| !queue.is_empty())?;
-        let rank = if self.is_floor_due() { lowest } else { highest };
+        let is_floor = lowest < highest && self.is_floor_due();
+        let rank = if is_floor { lowest } else { highest };
+        let class = if is_floor { Class::CriticalPlus } else { Class::from_rank(rank as u32) };
+        if !self.has_slot(now_us, class) {
+            return None;
+        }
         self.grants_since_floor = if rank < highest { 0 } else { self.grants_since_floor + 1 };
-        let (key, waiting) = self.queues[rank].pop_first()?;
-        debug_assert_eq!(waiting.class.rank() as usize, rank);
-        Some(key.ticket)
+        Some(rank)
     }
 
     fn is_floor_due(&self) -> bool {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod budget;
 pub mod limit;
 pub mod quarantine;
+pub mod reserve;
 pub mod retry;
 pub mod retry_after;
 pub mod routing;
--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -14,6 +14,9 @@
 /// Shortest time between two decreases, in microseconds.
 const MIN_DECREASE_INTERVAL_US: u64 = 20 * US_PER_MS;
 
+/// Weight of a new sample in the mean service time.
+const MEAN_SMOOTHING: f64 = 0.1;
+
 /// Result of one call, as the limit sees it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CallSample {
@@ -93,12 +96,11 @@
     }
 
     fn record_success(&mut self, service_us: u64) {
-        const SMOOTHING: f64 = 0.1;
         let sample = service_us as f64;
         if self.mean_service_us == 0.0 {
             self.mean_service_us = sample;
         }
-        self.mean_service_us += SMOOTHING * (sample - self.mean_service_us);
+        self.mean_service_us += MEAN_SMOOTHING * (sample - self.mean_service_us);
         let step = INCREASE_PER_WINDOW / self.limit.max(1.0);
         self.limit = (self.limit + step).min(f64::from(self.config.slots));
     }
--- a/crates/testbed/src/cluster.rs
+++ b/crates/testbed/src/cluster.rs
@@ -16,6 +16,8 @@
 const READY_LIMIT: Duration = Duration::from_secs(30);
 const STOP_LIMIT: Duration = Duration::from_secs(30);
 const STATUS_TIMEOUT: Duration = Duration::from_secs(2);
+/// Environment variable that keeps the logs and files of a cluster.
+const KEEP_VARIABLE: &str = "HEATHERWEIR_TESTBED_KEEP";
 /// Token of the operators of a test cluster.
 pub const OPERATOR_TOKEN: &str = "testbed-operator";
 
@@ -177,7 +179,11 @@
     fn new(deployment: Deployment, system: Option<&Path>) -> Result<Self, ClusterError> {
         let fakes = program_dir()?;
         let system = system.map_or_else(|| fakes.clone(), Path::to_path_buf);
-        let dir = TempDir::new()?;
+        let mut dir = TempDir::new()?;
+        if std::env::var_os(KEEP_VARIABLE).is_some() {
+            dir.disable_cleanup(true);
+            eprintln!("logs and files stay in {}", dir.path().display());
+        }
         fs::write(dir.path().join("token"), OPERATOR_TOKEN)?;
         Ok(Self {
             deployment,
--- a/crates/testbed/src/process.rs
+++ b/crates/testbed/src/process.rs
@@ -1,18 +1,23 @@
 //! Child processes of a test or measurement, ended when dropped.
 
+use std::collections::BTreeSet;
 use std::fs::{self, File};
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::ops::Range;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::OnceLock;
+use std::sync::{Mutex, OnceLock, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use quick_error::quick_error;
+use rand::Rng;
 use rustix::process::{Pid, Signal, kill_process};
 
 const POLL: Duration = Duration::from_millis(10);
+const PORTS: Range<u16> = 10_000..32_000;
+const PORT_ATTEMPTS: usize = 1_000;
 
 quick_error! {
     /// Failure of the harness itself.
@@ -162,15 +167,26 @@
     }
 }
 
-/// Returns a free loopback address.
+/// Returns a loopback address that is free and stays so.
+///
+/// The port lies below the range from which the system serves outgoing connections, so none of those
+/// takes it before the program that it is meant for.
 ///
 /// # Errors
 ///
 /// Returns an error if no port can be had.
 pub fn free_address() -> Result<SocketAddr, ProcessError> {
-    let bind =
-        || -> io::Result<SocketAddr> { TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr() };
-    bind().map_err(|error| ProcessError::Io("free port".to_owned(), error))
+    static GIVEN: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
+    let mut given = GIVEN.lock().unwrap_or_else(PoisonError::into_inner);
+    for _ in 0..PORT_ATTEMPTS {
+        let port = rand::rng().random_range(PORTS);
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        if !given.contains(&port) && TcpListener::bind(address).is_ok() {
+            given.insert(port);
+            return Ok(address);
+        }
+    }
+    Err(ProcessError::Timeout("free port".to_owned()))
 }
 
 /// Waits until a condition holds.
--- a/xtask/src/measure/judge.rs
+++ b/xtask/src/measure/judge.rs
@@ -57,7 +57,8 @@
         let charge_runs = runs_by_tag(records, scenario.deployment.charge_service);
         let latency = read_latency(scenario, &samples);
         let fault_s = (scenario.fault_until - scenario.fault_from).as_secs_f64();
-        let through = |sample: &&Sample| scenario.kinds[sample.kind].name != "upload";
+        let through =
+            |sample: &&Sample| scenario.limited_kinds.contains(&scenario.kinds[sample.kind].name);
         let good_in_fault = samples.iter().filter(through).filter(|sample| {
             let ended = sample.started + sample.elapsed;
             sample.ending == Ending::Good
--- a/xtask/src/measure/scenario.rs
+++ b/xtask/src/measure/scenario.rs
@@ -66,6 +66,8 @@
     pub fault_until: Duration,
     /// Service that limits the goodput.
     pub bottleneck: &'static str,
+    /// Kinds of requests that pass the bottleneck.
+    pub limited_kinds: &'static [&'static str],
     /// Goodput that the bottleneck allows during the fault, in requests a second.
     pub limit_per_s: f64,
 }
@@ -149,6 +151,14 @@
     ]
 }
 
+fn limited_kinds(bottleneck: &str) -> &'static [&'static str] {
+    match bottleneck {
+        "seires" => &["browse", "rental"],
+        "spec-tables" => &["page"],
+        _ => &["browse"],
+    }
+}
+
 fn phase(duration_s: u64, rate_per_s: f64) -> Phase {
     Phase { duration: Duration::from_secs(duration_s), rate_per_s }
 }
@@ -165,6 +175,7 @@
         fault_from: Duration::from_secs(2),
         fault_until: Duration::from_secs(10),
         bottleneck,
+        limited_kinds: limited_kinds(bottleneck),
         limit_per_s: capacity,
         deployment,
     }
@@ -182,6 +193,7 @@
         fault_from: Duration::from_secs(5),
         fault_until: Duration::from_secs(15),
         bottleneck,
+        limited_kinds: limited_kinds(bottleneck),
         limit_per_s: capacity / FACTOR as f64,
         deployment,
     }
@@ -199,6 +211,7 @@
         fault_from: Duration::from_secs(5),
         fault_until: Duration::from_secs(15),
         bottleneck: "seires",
+        limited_kinds: limited_kinds("seires"),
         limit_per_s: capacity * 2.0 / 3.0,
         deployment,
     }
@@ -216,6 +229,7 @@
         fault_from: Duration::from_secs(3),
         fault_until: Duration::from_secs(25),
         bottleneck: "seires",
+        limited_kinds: limited_kinds("seires"),
         limit_per_s: capacity * 2.0 / 3.0,
         deployment,
     }
@@ -244,6 +258,7 @@
         fault_from: Duration::from_secs(3),
         fault_until: Duration::from_secs(12),
         bottleneck: "apothiki",
+        limited_kinds: limited_kinds("apothiki"),
         limit_per_s: 20.0,
         deployment,
     }
