--- a/crates/consensus/src/raft.rs
+++ b/crates/consensus/src/raft.rs
@@ -15,7 +15,6 @@
 };
 
 const MAX_ENTRIES_PER_APPEND: usize = 256;
-const SNAPSHOT_CHUNK_BYTES: usize = 256 * 1024;
 
 quick_error! {
     /// A proposal that was not appended.
@@ -45,6 +44,8 @@
     pub election_timeout_us: u64,
     /// Interval of heartbeats, in microseconds.
     pub heartbeat_us: u64,
+    /// Largest part of a snapshot in one message, in bytes.
+    pub snapshot_chunk_bytes: usize,
     /// Seed of the random timeouts.
     pub seed: u64,
 }
@@ -722,7 +723,7 @@
             return;
         }
         let from = (transfer.sent_bytes as usize).min(snapshot.data.len());
-        let until = (from + SNAPSHOT_CHUNK_BYTES).min(snapshot.data.len());
+        let until = (from + self.settings.snapshot_chunk_bytes).min(snapshot.data.len());
         let message = Message::SnapshotChunk {
             term: self.hard_state.term,
             index: snapshot.index,
--- /dev/null
+++ b/crates/consensus/tests/rules.rs
@@ -0,0 +1,145 @@
+//! Single rules of the log, each with the smallest exchange that a breach would spoil.
+
+use consensus::{
+    Entry, HardState, Member, Membership, Message, Payload, ProposeError, Raft, ReplicaId, Role,
+    Settings, Snapshot, Stored, Term,
+};
+
+const NOW_US: u64 = 10_000_000;
+const ELECTION_US: u64 = 100_000;
+
+fn membership() -> Membership {
+    let member = |id: u64| {
+        let member = Member { address: id.to_string(), data_centre: String::new(), is_voter: true };
+        (ReplicaId(id), member)
+    };
+    Membership { members: (1..=3).map(member).collect() }
+}
+
+fn entry(term: Term, index: u64) -> Entry {
+    Entry { term, index, payload: Payload::Command(vec![term as u8, index as u8]) }
+}
+
+/// Replica 1 of three, with these entries on its disk.
+fn replica(term: Term, entries: Vec<Entry>) -> Raft {
+    let settings = Settings {
+        id: ReplicaId(1),
+        election_timeout_us: ELECTION_US,
+        heartbeat_us: ELECTION_US / 5,
+        snapshot_chunk_bytes: 4,
+        seed: 1,
+    };
+    let snapshot = Snapshot { membership: membership(), ..Snapshot::default() };
+    let hard_state = HardState { term, voted_for: None };
+    Raft::new(settings, Stored { hard_state, snapshot, entries }, NOW_US)
+}
+
+/// Lets replica 1 win an election with the vote of replica 2.
+fn leader(term: Term, entries: Vec<Entry>) -> Raft {
+    let mut raft = replica(term, entries);
+    let now_us = NOW_US + 3 * ELECTION_US;
+    raft.tick(now_us);
+    let next_term = term + 1;
+    let granted = Message::PreVoteReply { term, next_term, is_granted: true };
+    raft.step(now_us, ReplicaId(2), granted);
+    raft.step(now_us, ReplicaId(2), Message::VoteReply { term: next_term, is_granted: true });
+    assert_eq!(raft.role(), Role::Leader);
+    raft
+}
+
+fn acknowledge(raft: &mut Raft, term: Term, index: u64) {
+    let now_us = NOW_US + 3 * ELECTION_US;
+    let last_index = raft.last_index();
+    raft.take_ready();
+    raft.synced(now_us, last_index);
+    let reply = Message::AppendReply { term, is_match: true, index };
+    raft.step(now_us, ReplicaId(2), reply);
+}
+
+#[test]
+fn entries_of_an_earlier_term_are_not_committed_by_count() {
+    let mut raft = leader(2, vec![entry(1, 1), entry(2, 2)]);
+    acknowledge(&mut raft, 3, 2);
+    assert_eq!(raft.commit_index(), 0);
+    acknowledge(&mut raft, 3, 3);
+    assert_eq!(raft.commit_index(), 3);
+}
+
+#[test]
+fn membership_waits_for_an_entry_of_the_own_term() {
+    let mut raft = leader(2, vec![entry(1, 1)]);
+    let now_us = NOW_US + 3 * ELECTION_US;
+    let mut next = membership();
+    next.members.shift_remove(&ReplicaId(3));
+    let early = raft.propose_membership(now_us, next.clone());
+    assert_eq!(early, Err(ProposeError::ChangeInProgress));
+    acknowledge(&mut raft, 3, 2);
+    assert_eq!(raft.propose_membership(now_us, next), Ok(3));
+}
+
+#[test]
+fn commit_stops_at_the_entries_that_matched() {
+    let mut raft = replica(2, vec![entry(1, 1), entry(2, 2), entry(2, 3)]);
+    let heartbeat = Message::Append {
+        term: 3,
+        prev_index: 1,
+        prev_term: 1,
+        entries: Vec::new(),
+        commit_index: 3,
+    };
+    raft.step(NOW_US, ReplicaId(2), heartbeat);
+    assert_eq!(raft.commit_index(), 1);
+}
+
+#[test]
+fn doubled_and_reordered_chunks_make_one_snapshot() {
+    let mut raft = replica(0, Vec::new());
+    let chunk = |offset_bytes: u64, data: &[u8], is_last| Message::SnapshotChunk {
+        term: 1,
+        index: 9,
+        index_term: 1,
+        membership: membership(),
+        offset_bytes,
+        data: data.to_vec(),
+        is_last,
+    };
+    raft.step(NOW_US, ReplicaId(2), chunk(0, b"abcd", false));
+    raft.step(NOW_US, ReplicaId(2), chunk(0, b"abcd", false));
+    raft.step(NOW_US, ReplicaId(2), chunk(8, b"ij", true));
+    raft.step(NOW_US, ReplicaId(2), chunk(4, b"efgh", false));
+    assert_eq!(raft.take_ready().snapshot, None);
+    raft.step(NOW_US, ReplicaId(2), chunk(8, b"ij", true));
+    let snapshot = raft.take_ready().snapshot.map(|snapshot| snapshot.data);
+    assert_eq!(snapshot, Some(b"abcdefghij".to_vec()));
+}
+
+#[test]
+fn a_voter_that_hears_its_leader_refuses_a_candidate() {
+    let mut raft = replica(1, Vec::new());
+    let heartbeat = Message::Append {
+        term: 1,
+        prev_index: 0,
+        prev_term: 0,
+        entries: Vec::new(),
+        commit_index: 0,
+    };
+    raft.step(NOW_US, ReplicaId(2), heartbeat);
+    raft.step(NOW_US, ReplicaId(3), Message::Vote { term: 9, last_index: 5, last_term: 1 });
+    assert_eq!(raft.term(), 1);
+    assert_eq!(raft.leader(), Some(ReplicaId(2)));
+}
+
+#[test]
+fn a_replica_without_membership_never_campaigns() {
+    let settings = Settings {
+        id: ReplicaId(7),
+        election_timeout_us: ELECTION_US,
+        heartbeat_us: ELECTION_US / 5,
+        snapshot_chunk_bytes: 4,
+        seed: 1,
+    };
+    let mut raft = Raft::new(settings, Stored::default(), NOW_US);
+    raft.tick(NOW_US + 10 * ELECTION_US);
+    assert_eq!(raft.role(), Role::Follower);
+    assert!(raft.take_ready().messages.is_empty());
+}
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -25,6 +25,7 @@
 const TICK: Duration = Duration::from_millis(10);
 const ELECTION_TIMEOUT_US: u64 = 600_000;
 const HEARTBEAT_US: u64 = 100_000;
+const SNAPSHOT_CHUNK_BYTES: usize = 256 * 1024;
 const MAX_BATCH: usize = 1_024;
 const MAX_LOG_BYTES: u64 = 8 * 1024 * 1024;
 const MAX_LOG_ENTRIES: Index = 20_000;
@@ -122,13 +123,7 @@
     outbox: impl Outbox + Send + 'static,
 ) -> Result<(ReplicaHandle, JoinHandle<Result<(), ReplicaError>>), ReplicaError> {
     let state = State::from_snapshot(&stored.snapshot.data)?;
-    let settings = consensus::Settings {
-        id,
-        election_timeout_us: ELECTION_TIMEOUT_US,
-        heartbeat_us: HEARTBEAT_US,
-        seed: id.0,
-    };
-    let raft = Raft::new(settings, stored, clock.now_us());
+    let raft = Raft::new(raft_settings(id), stored, clock.now_us());
     let (inputs, receiver) = mpsc::channel();
     let (revision_sender, profile_revision) = watch::channel(state.profiles().revision());
     let view = Arc::new(ArcSwap::from_pointee(view_of(&raft, &state, clock.now_us())));
@@ -148,6 +143,16 @@
     Ok((ReplicaHandle { inputs, view, profile_revision }, thread))
 }
 
+fn raft_settings(id: ReplicaId) -> consensus::Settings {
+    consensus::Settings {
+        id,
+        election_timeout_us: ELECTION_TIMEOUT_US,
+        heartbeat_us: HEARTBEAT_US,
+        snapshot_chunk_bytes: SNAPSHOT_CHUNK_BYTES,
+        seed: id.0,
+    }
+}
+
 struct PendingProposal {
     term: Term,
     reply: ProposalReply,
@@ -320,13 +325,7 @@
             error!(self.log, "formation-failed"; "error" => %error);
             return;
         }
-        let settings = consensus::Settings {
-            id: self.raft.id(),
-            election_timeout_us: ELECTION_TIMEOUT_US,
-            heartbeat_us: HEARTBEAT_US,
-            seed: self.raft.id().0,
-        };
-        self.raft = Raft::new(settings, stored, self.clock.now_us());
+        self.raft = Raft::new(raft_settings(self.raft.id()), stored, self.clock.now_us());
         info!(self.log, "replica-formed"; "members" => self.raft.membership().members.len());
     }
 
