--- a/crates/policy/src/budget.rs
+++ b/crates/policy/src/budget.rs
@@ -4,37 +4,37 @@
 //! when most requests would use theirs.
 
 /// Retries that may be saved up.
-const MAX_TOKENS: f64 = 20.0;
+const MAX_RETRIES: u32 = 20;
+/// Parts of one retry; a success earns as many as the share in percent says.
+const PARTS_PER_RETRY: u32 = 100;
 
 /// Token bucket that successes fill and retries drain.
 #[derive(Debug, Clone)]
 pub struct RetryBudget {
-    tokens: f64,
-    tokens_per_success: f64,
+    parts: u32,
+    percent: u32,
 }
 
 impl RetryBudget {
     /// Starts full, with a share of successes in percent.
     pub fn new(percent: u32) -> Self {
-        Self { tokens: MAX_TOKENS, tokens_per_success: f64::from(percent) / 100.0 }
+        Self { parts: MAX_RETRIES * PARTS_PER_RETRY, percent }
     }
 
     /// Replaces the share.
     pub fn set_percent(&mut self, percent: u32) {
-        self.tokens_per_success = f64::from(percent) / 100.0;
+        self.percent = percent;
     }
 
     /// Takes a success into account.
     pub fn record_success(&mut self) {
-        self.tokens = (self.tokens + self.tokens_per_success).min(MAX_TOKENS);
+        self.parts = (self.parts + self.percent).min(MAX_RETRIES * PARTS_PER_RETRY);
     }
 
     /// Takes one retry out. Returns whether there was one.
     pub fn withdraw(&mut self) -> bool {
-        if self.tokens < 1.0 {
-            return false;
-        }
-        self.tokens -= 1.0;
+        let Some(rest) = self.parts.checked_sub(PARTS_PER_RETRY) else { return false };
+        self.parts = rest;
         true
     }
 }
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -47,6 +47,7 @@
 #[derive(Debug, Default)]
 pub struct Quarantine {
     records: IndexMap<Digest, Record>,
+    expire_due_us: u64,
 }
 
 impl Quarantine {
@@ -96,10 +97,14 @@
         self.records.is_empty()
     }
 
+    /// Drops what is too old, at most once a second, and the oldest part of a full table.
     fn expire(&mut self, now_us: u64) {
-        self.records.retain(|_, record| now_us.saturating_sub(record.seen_us) < RETENTION_US);
-        while self.records.len() >= MAX_ENTRIES {
-            self.records.shift_remove_index(0);
+        if now_us >= self.expire_due_us {
+            self.expire_due_us = now_us + US_PER_S;
+            self.records.retain(|_, record| now_us.saturating_sub(record.seen_us) < RETENTION_US);
+        }
+        if self.records.len() >= MAX_ENTRIES {
+            self.records.drain(..MAX_ENTRIES / 10);
         }
     }
 }
--- /dev/null
+++ b/crates/policy/tests/admission.rs
@@ -0,0 +1,249 @@
+//! Admission by class, queue and limit.
+
+use model::{Class, Reason};
+use policy::admission::{Admission, AdmissionConfig, Arrival, Decision, Event, RunningCall};
+use policy::limit::{CallSample, LimitConfig};
+use proptest::prelude::*;
+
+const MS: u64 = 1_000;
+const READ: Class = Class::SheddablePlus;
+const BUY: Class = Class::CriticalPlus;
+
+struct Upstream {
+    admission: Admission,
+    running: Vec<RunningCall>,
+    next_ticket: u64,
+}
+
+impl Upstream {
+    fn new(slots: u32) -> Self {
+        let limit = LimitConfig { slots, min_limit: 1, cold_ramp_us: 0 };
+        let config = AdmissionConfig { limit, max_queue_delay_us: 100 * MS, floor_percent: 5 };
+        Self { admission: Admission::new(config, 0), running: Vec::new(), next_ticket: 0 }
+    }
+
+    fn offer(&mut self, now_us: u64, class: Class, stamp: u64) -> (u64, Decision, Vec<Event>) {
+        self.offer_until(now_us, class, stamp, now_us + 2_000 * MS)
+    }
+
+    fn offer_until(
+        &mut self,
+        now_us: u64,
+        class: Class,
+        stamp: u64,
+        deadline_us: u64,
+    ) -> (u64, Decision, Vec<Event>) {
+        self.next_ticket += 1;
+        let ticket = self.next_ticket;
+        let arrival = Arrival { ticket, class, admitted_unix_us: stamp, deadline_us };
+        let (decision, events) = self.admission.offer(now_us, arrival);
+        if decision == Decision::Admit {
+            self.running.push(RunningCall { class, admitted_us: now_us });
+        }
+        (ticket, decision, events)
+    }
+
+    fn finish_one(&mut self, now_us: u64, service_us: u64) -> Vec<Event> {
+        let call = self.running.remove(0);
+        self.admission.complete(now_us, call, CallSample::Success { service_us })
+    }
+}
+
+/// Queues calls of these classes behind a full upstream and returns the order of their grants.
+fn check_order(arrivals: &[(Class, u64)], expected: &[u64]) {
+    let mut upstream = Upstream::new(1);
+    upstream.offer(0, READ, 0);
+    let tickets: Vec<u64> =
+        arrivals.iter().map(|(class, stamp)| upstream.offer(1, *class, *stamp).0).collect();
+    let mut granted = Vec::new();
+    for _ in arrivals {
+        let events = upstream.finish_one(2, 1);
+        for event in events {
+            if let Event::Admit(ticket) = event {
+                let position = tickets.iter().position(|t| *t == ticket).expect("known");
+                granted.push(position as u64);
+                let class = arrivals[position].0;
+                upstream.running.push(RunningCall { class, admitted_us: 2 });
+            }
+        }
+    }
+    assert_eq!(granted, expected);
+}
+
+macro_rules! order_cases {
+    ($($name:ident: $arrivals:expr => $expected:expr;)*) => {
+        $(#[test]
+        fn $name() {
+            check_order(&$arrivals, &$expected);
+        })*
+    };
+}
+
+order_cases! {
+    higher_class_goes_first: [(READ, 1), (BUY, 2), (READ, 3)] => [1, 0, 2];
+    earlier_stamp_goes_first: [(READ, 9), (READ, 3), (READ, 5)] => [1, 2, 0];
+    class_beats_stamp: [(Class::Critical, 1), (BUY, 9)] => [1, 0];
+}
+
+#[test]
+fn full_queue_gives_way_to_a_higher_class() {
+    let mut upstream = Upstream::new(1);
+    upstream.offer(0, READ, 0);
+    let mut queued = 0;
+    while upstream.offer(1, READ, queued).1 == Decision::Queue {
+        queued += 1;
+    }
+    let (_, decision, events) = upstream.offer(1, BUY, 99);
+    assert_eq!(decision, Decision::Queue);
+    assert!(matches!(events[..], [Event::Refuse(_, Reason::Preempted)]), "{events:?}");
+}
+
+#[test]
+fn low_class_waits_for_a_short_time_only() {
+    let mut upstream = Upstream::new(1);
+    upstream.offer(0, BUY, 0);
+    let (read, ..) = upstream.offer(0, READ, 0);
+    let (buy, ..) = upstream.offer(0, BUY, 0);
+    let events = upstream.admission.poll(150 * MS);
+    assert_eq!(events, vec![Event::Refuse(read, Reason::Overloaded)]);
+    let events = upstream.finish_one(200 * MS, 200 * MS);
+    assert_eq!(events, vec![Event::Admit(buy)]);
+}
+
+#[test]
+fn call_that_cannot_finish_is_refused_on_arrival() {
+    let mut upstream = Upstream::new(1);
+    upstream.offer(0, BUY, 0);
+    upstream.finish_one(500 * MS, 500 * MS);
+    upstream.offer(500 * MS, BUY, 0);
+    let (_, decision, _) = upstream.offer_until(500 * MS, BUY, 0, 900 * MS);
+    assert_eq!(decision, Decision::Refuse(Reason::Overloaded));
+}
+
+#[test]
+fn slowdown_is_noticed_before_a_call_ends() {
+    let mut upstream = Upstream::new(2);
+    upstream.offer(0, READ, 0);
+    upstream.finish_one(MS, MS);
+    upstream.offer(MS, READ, 0);
+    upstream.offer(MS, READ, 0);
+    let (_, decision, _) = upstream.offer_until(900 * MS, BUY, 0, 1_500 * MS);
+    assert_eq!(decision, Decision::Refuse(Reason::Overloaded));
+}
+
+#[test]
+fn free_slot_is_used_whatever_the_estimate_says() {
+    let mut upstream = Upstream::new(1);
+    upstream.offer(0, READ, 0);
+    upstream.finish_one(5_000 * MS, 5_000 * MS);
+    let (_, decision, _) = upstream.offer(5_000 * MS, READ, 0);
+    assert_eq!(decision, Decision::Admit);
+}
+
+#[test]
+fn slots_are_kept_for_critical_calls() {
+    let mut upstream = Upstream::new(40);
+    let mut now_us = 0;
+    // Twenty critical calls a second, 500 ms each, need ten slots.
+    for _ in 0..200 {
+        now_us += 50 * MS;
+        if upstream.offer(now_us, BUY, now_us).1 == Decision::Admit && upstream.running.len() > 10 {
+            upstream.finish_one(now_us, 500 * MS);
+        }
+    }
+    let mut lower = 0;
+    while upstream.offer(now_us, READ, now_us).1 == Decision::Admit {
+        lower += 1;
+    }
+    assert!((25..=35).contains(&lower), "{lower} lower calls run beside critical ones");
+    let (_, decision, _) = upstream.offer(now_us, BUY, now_us);
+    assert_ne!(decision, Decision::Refuse(Reason::Overloaded));
+}
+
+#[test]
+fn floor_keeps_browsing_from_going_blank() {
+    let mut upstream = Upstream::new(1);
+    upstream.offer(0, BUY, 0);
+    let mut granted_reads = 0;
+    for round in 1..=100u64 {
+        let now_us = round * MS;
+        let (read, ..) = upstream.offer(now_us, READ, round);
+        let (buy, ..) = upstream.offer(now_us, BUY, round);
+        for event in upstream.finish_one(now_us, MS) {
+            match event {
+                Event::Admit(ticket) if ticket == buy => {}
+                Event::Admit(_) => granted_reads += 1,
+                Event::Refuse(..) => {}
+            }
+            let class = if event == Event::Admit(read) { READ } else { BUY };
+            if matches!(event, Event::Admit(_)) {
+                upstream.running.push(RunningCall { class, admitted_us: now_us });
+            }
+        }
+        if upstream.running.is_empty() {
+            break;
+        }
+    }
+    assert!(granted_reads > 0, "no read was granted");
+}
+
+#[test]
+fn limit_falls_on_refusals_and_comes_back() {
+    let mut upstream = Upstream::new(40);
+    for round in 1..=10u64 {
+        let now_us = round * 100 * MS;
+        upstream.offer(now_us, READ, 0);
+        let call = upstream.running.remove(0);
+        upstream.admission.complete(now_us, call, CallSample::Shed);
+    }
+    let fallen = upstream.admission.load(1_000 * MS).limit;
+    assert!(fallen <= 10, "{fallen}");
+    for round in 0..400u64 {
+        let now_us = 1_000 * MS + round * MS;
+        upstream.offer(now_us, READ, 0);
+        upstream.finish_one(now_us, MS);
+    }
+    assert_eq!(upstream.admission.load(2_000 * MS).limit, 40);
+}
+
+proptest! {
+    /// However calls come and go, the limit holds and each call gets exactly one verdict.
+    #[test]
+    fn limit_holds(
+        steps in prop::collection::vec((0u8..4, 0usize..4, 0u64..50), 1..300),
+        slots in 1u32..10,
+    ) {
+        let mut upstream = Upstream::new(slots);
+        let mut classes = std::collections::HashMap::new();
+        let mut now_us = 0;
+        for (action, class, pause_ms) in steps {
+            now_us += pause_ms * MS;
+            let events = match action {
+                0 if !upstream.running.is_empty() => upstream.finish_one(now_us, 20 * MS),
+                1 => upstream.admission.poll(now_us),
+                _ => {
+                    let class = Class::ALL[class];
+                    let (ticket, decision, events) = upstream.offer(now_us, class, now_us);
+                    if decision == Decision::Queue {
+                        classes.insert(ticket, class);
+                    }
+                    events
+                }
+            };
+            for event in events {
+                let ticket = match event {
+                    Event::Admit(ticket) | Event::Refuse(ticket, _) => ticket,
+                };
+                let class = classes.remove(&ticket);
+                prop_assert!(class.is_some(), "second verdict for {}", ticket);
+                if let (Event::Admit(_), Some(class)) = (event, class) {
+                    upstream.running.push(RunningCall { class, admitted_us: now_us });
+                }
+            }
+            let load = upstream.admission.load(now_us);
+            prop_assert_eq!(load.in_flight as usize, upstream.running.len());
+            prop_assert!(load.in_flight <= slots);
+            prop_assert_eq!(load.queued as usize, classes.len());
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/routing.rs
@@ -0,0 +1,194 @@
+//! Choice of endpoints, ejection, and quarantine.
+
+use model::{DataCentreName, RouteName, VmName};
+use policy::quarantine::{ProcessId, Quarantine, Standing};
+use policy::routing::{AttemptResult, EndpointState, ReportedLoad, Router};
+use policy::shed::{LearntLevel, LevelController, Refused, priority};
+use proptest::prelude::*;
+
+const S: u64 = 1_000_000;
+
+fn vm(name: &str) -> VmName {
+    VmName::new(name).expect("the name is valid")
+}
+
+fn route() -> RouteName {
+    RouteName::new("read").expect("the name is valid")
+}
+
+/// A router in data centre `a` with these VMs, each named after its data centre.
+fn router(vms: &[&str]) -> Router {
+    let data_centre = |name: &str| DataCentreName::new(&name[..1]).expect("the name is valid");
+    let mut router = Router::new(data_centre("a"));
+    for name in vms {
+        router.upsert(&vm(name), &data_centre(name), EndpointState::Serving);
+    }
+    router
+}
+
+fn fail(router: &mut Router, now_us: u64, name: &str, times: u32) {
+    for _ in 0..times {
+        router.finish(now_us, &vm(name), &route(), AttemptResult::Failed);
+    }
+}
+
+fn report(router: &mut Router, now_us: u64, name: &str, in_flight: u32) {
+    router.report(now_us, &vm(name), ReportedLoad { in_flight, limit: 10, queued: 0 });
+}
+
+#[test]
+fn own_data_centre_goes_first() {
+    let mut router = router(&["a1", "b1", "c1"]);
+    for random in 0..50 {
+        assert_eq!(router.choose(S, &[], random), Some(vm("a1")));
+        router.finish(S, &vm("a1"), &route(), AttemptResult::Answered { latency_us: 1 });
+    }
+}
+
+#[test]
+fn full_data_centre_spills_over() {
+    let mut router = router(&["a1", "b1"]);
+    report(&mut router, S, "a1", 10);
+    report(&mut router, S, "b1", 1);
+    assert_eq!(router.choose(S, &[], 7), Some(vm("b1")));
+}
+
+#[test]
+fn stale_report_does_not_spill() {
+    let mut router = router(&["a1", "b1"]);
+    report(&mut router, S, "a1", 10);
+    assert_eq!(router.choose(5 * S, &[], 7), Some(vm("a1")));
+}
+
+#[test]
+fn leaving_endpoint_gets_no_call() {
+    let mut router = router(&["a1", "b1"]);
+    router.mark_leaving(&vm("a1"));
+    assert_eq!(router.choose(S, &[], 7), Some(vm("b1")));
+    router.mark_leaving(&vm("b1"));
+    assert_eq!(router.choose(S, &[], 7), None);
+}
+
+#[test]
+fn failing_endpoint_is_ejected_and_probed() {
+    let mut router = router(&["a1", "a2", "a3"]);
+    fail(&mut router, S, "a1", 3);
+    for random in 0..50 {
+        assert_ne!(router.choose(S, &[], random), Some(vm("a1")));
+    }
+    let later_us = S + 600_000;
+    assert_eq!(router.choose(later_us, &[], 1), Some(vm("a1")));
+    assert_ne!(router.choose(later_us, &[], 1), Some(vm("a1")), "one probe at a time");
+    router.finish(later_us, &vm("a1"), &route(), AttemptResult::Answered { latency_us: 1 });
+    let chosen = (0..50).any(|random| router.choose(later_us, &[], random) == Some(vm("a1")));
+    assert!(chosen, "an answered probe ends the ejection");
+}
+
+#[test]
+fn slow_attempt_needs_a_faster_endpoint_on_the_same_route() {
+    let mut router = router(&["a1", "a2"]);
+    let other = RouteName::new("upload").expect("the name is valid");
+    let answered = AttemptResult::Answered { latency_us: 1_000 };
+    router.finish(2 * S, &vm("a2"), &other, answered);
+    assert!(!router.has_faster(&[vm("a1")], &route(), S));
+    router.finish(2 * S, &vm("a2"), &route(), answered);
+    assert!(router.has_faster(&[vm("a1")], &route(), S));
+    assert!(!router.has_faster(&[vm("a1")], &route(), 3 * S));
+    assert!(!router.has_faster(&[vm("a1"), vm("a2")], &route(), S));
+}
+
+proptest! {
+    /// Whatever fails, a call that tried nothing finds an endpoint, and no more than half are ejected.
+    #[test]
+    fn some_endpoint_is_always_left(
+        failures in prop::collection::vec((0usize..6, 1u32..6), 0..60),
+        random: u64,
+    ) {
+        let names = ["a1", "a2", "b1", "b2", "c1", "c2"];
+        let mut router = router(&names);
+        for (index, times) in failures {
+            fail(&mut router, S, names[index], times);
+        }
+        prop_assert!(router.choose(S, &[], random).is_some());
+        let mut chosen = std::collections::BTreeSet::new();
+        for random in 0..500u64 {
+            let random = random.wrapping_mul(0x9E37_79B9_7F4A_7C15);
+            if let Some(vm) = router.choose(S, &[], random) {
+                router.finish(S, &vm, &route(), AttemptResult::Cancelled);
+                chosen.insert(vm);
+            }
+            let Some(first) = router.choose(S, &[vm("a1"), vm("a2")], random) else { continue };
+            router.finish(S, &first, &route(), AttemptResult::Cancelled);
+            chosen.insert(first);
+        }
+        prop_assert!(!chosen.is_empty());
+    }
+}
+
+fn process(name: &str, incarnation: u64) -> ProcessId {
+    ProcessId { vm: name.to_owned(), incarnation }
+}
+
+#[test]
+fn request_in_two_deaths_is_quarantined() {
+    let mut quarantine = Quarantine::new();
+    assert_eq!(quarantine.standing(7), Standing::Clear);
+    quarantine.record_death(S, &process("a1", 1), 7);
+    assert_eq!(quarantine.standing(7), Standing::Suspect);
+    quarantine.record_death(S, &process("a1", 1), 7);
+    assert_eq!(quarantine.standing(7), Standing::Suspect, "repeated news of one death");
+    quarantine.record_death(S, &process("a1", 2), 7);
+    assert_eq!(quarantine.standing(7), Standing::Quarantined);
+}
+
+#[test]
+fn innocent_request_is_cleared() {
+    let mut quarantine = Quarantine::new();
+    quarantine.record_death(S, &process("a1", 1), 7);
+    quarantine.clear(7);
+    assert_eq!(quarantine.standing(7), Standing::Clear);
+}
+
+#[test]
+fn entries_expire_and_are_bounded() {
+    let mut quarantine = Quarantine::new();
+    for digest in 0..20_000 {
+        quarantine.record_death(S, &process("a1", 1), digest);
+    }
+    assert!(quarantine.len() <= 10_000);
+    quarantine.record_death(700 * S, &process("a1", 2), 1);
+    assert_eq!(quarantine.len(), 1);
+}
+
+#[test]
+fn level_rises_with_refusals_and_relaxes() {
+    let mut levels = LevelController::new();
+    let mut now_us = S;
+    for window in 0..10 {
+        for id in 0..640u32 {
+            let own = priority(model::Class::SheddablePlus, id);
+            let is_refused = if own < levels.level(now_us) { Refused::Yes } else { Refused::No };
+            let is_overloaded = window < 5 && id % 2 == 0;
+            levels.record(now_us, own, if is_overloaded { Refused::Yes } else { is_refused });
+        }
+        now_us += 100_000;
+        if window == 1 {
+            assert!(levels.level(now_us) > priority(model::Class::SheddablePlus, 0));
+            assert!(levels.level(now_us) < priority(model::Class::Critical, 0));
+        }
+    }
+    for _ in 0..40 {
+        now_us += 100_000;
+        levels.level(now_us);
+    }
+    assert_eq!(levels.level(now_us), 0);
+}
+
+#[test]
+fn learnt_level_is_forgotten() {
+    let mut learnt = LearntLevel::default();
+    learnt.learn(S, 100);
+    assert!(learnt.is_refused(S, 99));
+    assert!(!learnt.is_refused(S, 100));
+    assert!(!learnt.is_refused(3 * S, 99));
+}
