Prove the path with real processes; refuse oversized bodies before dispatch

64 callers with random delays get their own complete answers; truncated answers are never whole; forged internal headers are dropped; bad input gets a typed error; an abandoned request is cancelled below. Seen failing first: a body of 2 MB on a route of 1 MiB was dispatched and ended as unknown (connection-lost); its stated length is now checked before anything is sent.

--- a/crates/node/src/body.rs
+++ b/crates/node/src/body.rs
@@ -56,6 +56,9 @@
 impl CallBody {
     /// Reads a caller's body until it ends or is too large to hold.
     pub(crate) async fn read(mut body: Incoming, max_bytes: u64) -> Result<Self, BodyError> {
+        if body.size_hint().lower() > max_bytes {
+            return Err(BodyError::TooLarge);
+        }
         let mut held = BytesMut::new();
         while held.len() <= MAX_HELD_BYTES {
             let Some(frame) = body.frame().await else {
--- /dev/null
+++ b/crates/testbed/src/caller.rs
@@ -0,0 +1,112 @@
+//! A blocking caller for tests and demonstrations.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use quick_error::quick_error;
+use ureq::http::Request;
+use ureq::{Agent, AsSendBody};
+
+const TIMEOUT: Duration = Duration::from_secs(60);
+
+quick_error! {
+    /// A request without a complete answer.
+    #[derive(Debug)]
+    pub enum CallerError {
+        /// The exchange failed.
+        Http(source: Box<ureq::Error>) {
+            display("{}", source)
+            from(error: ureq::Error) -> (Box::new(error))
+        }
+    }
+}
+
+/// What a caller got.
+#[derive(Debug, Clone)]
+pub struct Reply {
+    /// HTTP status.
+    pub status: u16,
+    /// Value of the outcome header.
+    pub outcome: String,
+    /// Value of the reason header.
+    pub reason: String,
+    /// Advice on when to come back, in seconds.
+    pub retry_after_s: Option<u64>,
+    /// Body as text.
+    pub text: String,
+    /// Body as JSON; null when it is none.
+    pub body: serde_json::Value,
+    /// Time until the whole answer was there.
+    pub elapsed: Duration,
+}
+
+/// Sends requests and reads whole answers, whatever their status.
+#[derive(Debug, Clone)]
+pub struct Caller {
+    agent: Agent,
+}
+
+impl Caller {
+    /// Makes a caller with connections of its own.
+    pub fn new() -> Self {
+        let config =
+            Agent::config_builder().timeout_global(Some(TIMEOUT)).http_status_as_error(false);
+        Self { agent: config.build().into() }
+    }
+
+    /// Sends a read.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no complete answer comes.
+    pub fn get(&self, entry: SocketAddr, path: &str) -> Result<Reply, CallerError> {
+        self.send(Request::get(format!("http://{entry}{path}")), ())
+    }
+
+    /// Sends a request that charges, under a key that also tags it at the upstreams.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no complete answer comes.
+    pub fn charge(&self, entry: SocketAddr, path: &str, key: &str) -> Result<Reply, CallerError> {
+        let request = Request::post(format!("http://{entry}{path}"))
+            .header("idempotency-key", key)
+            .header("x-tag", key);
+        self.send(request, "charge")
+    }
+
+    /// Sends any request.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no complete answer comes.
+    pub fn send(
+        &self,
+        request: ureq::http::request::Builder,
+        body: impl AsSendBody,
+    ) -> Result<Reply, CallerError> {
+        let started = Instant::now();
+        let request = request.body(body).map_err(ureq::Error::from)?;
+        let mut response = self.agent.run(request)?;
+        let text = response.body_mut().read_to_string()?;
+        let header = |name: &str| {
+            let value = response.headers().get(name).and_then(|value| value.to_str().ok());
+            value.unwrap_or_default().to_owned()
+        };
+        Ok(Reply {
+            status: response.status().as_u16(),
+            outcome: header("heatherweir-outcome"),
+            reason: header("heatherweir-reason"),
+            retry_after_s: header("retry-after").parse().ok(),
+            body: serde_json::from_str(&text).unwrap_or_default(),
+            text,
+            elapsed: started.elapsed(),
+        })
+    }
+}
+
+impl Default for Caller {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- a/crates/testbed/src/cluster.rs
+++ b/crates/testbed/src/cluster.rs
@@ -11,7 +11,8 @@
 
 use crate::deployment::{Deployment, ServiceSpec};
 use crate::process::{Process, ProcessError, free_address, program_dir, wait_until};
-use crate::upstream_client;
+use crate::upstream::Behaviour;
+use crate::upstream_client::{self, UpstreamClientError};
 
 const READY_LIMIT: Duration = Duration::from_secs(30);
 const STOP_LIMIT: Duration = Duration::from_secs(30);
@@ -282,6 +283,36 @@
         front.map(entry).collect()
     }
 
+    /// Returns how often the work of a tagged request ran at a service.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an upstream does not answer.
+    pub fn runs_of(&self, tag: &str, service: &str) -> Result<u64, UpstreamClientError> {
+        let mut runs = 0;
+        for instance in self.instances_of(service) {
+            let record = upstream_client::record(instance.upstream_admin)?;
+            runs += record.runs.get(tag).copied().unwrap_or(0);
+        }
+        Ok(runs)
+    }
+
+    /// Changes the behaviour of every upstream of a service.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an upstream does not answer.
+    pub fn change_behaviour(
+        &self,
+        service: &str,
+        change: impl Fn(&mut Behaviour),
+    ) -> Result<(), UpstreamClientError> {
+        for instance in self.instances_of(service) {
+            upstream_client::change(instance.upstream_admin, &change)?;
+        }
+        Ok(())
+    }
+
     /// Starts a control replica again with its old files.
     ///
     /// # Errors
--- a/crates/testbed/src/deployment.rs
+++ b/crates/testbed/src/deployment.rs
@@ -108,6 +108,32 @@
         }
     }
 
+    /// Two services in three data centres, for tests: `front` calls `back`, which charges and stores.
+    pub fn pair() -> Self {
+        let service = |name, profile, instances, calls| ServiceSpec {
+            name,
+            profile,
+            instances,
+            slots: 16,
+            connections: 100,
+            service_time_us: 1_000,
+            calls,
+        };
+        Self {
+            name: "pair",
+            data_centres: &["kifisia", "peiraias", "marousi"],
+            services: vec![
+                service("front", "front", 2, &["/=back"]),
+                service("back", "back", 3, &[]),
+            ],
+            profile_dir: profile_dir("test-pair"),
+            read_path: "/pages/1",
+            charge_path: "/purchases/1",
+            charge_service: "back",
+            upload_service: "back",
+        }
+    }
+
     /// Returns the front service.
     pub fn front(&self) -> &ServiceSpec {
         &self.services[0]
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -1,5 +1,6 @@
 //! Fakes and a harness: upstreams, callers and the processes of a small deployment.
 
+pub mod caller;
 pub mod cluster;
 pub mod deployment;
 pub mod load;
--- /dev/null
+++ b/crates/testbed/tests/path.rs
@@ -0,0 +1,209 @@
+//! The whole path with real processes: complete answers, truth about what ran, bad input.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::thread;
+use std::time::Duration;
+
+use testbed::caller::Caller;
+use testbed::cluster::{Cluster, node_status};
+use testbed::deployment::Deployment;
+use testbed::process::wait_until;
+use ureq::http::Request;
+
+const LIMIT: Duration = Duration::from_secs(20);
+
+fn cluster() -> Cluster {
+    Cluster::start(Deployment::pair()).expect("the cluster starts")
+}
+
+fn counter(admin: SocketAddr, name: &str) -> u64 {
+    node_status(admin).and_then(|status| status["counters"][name].as_u64()).unwrap_or(0)
+}
+
+#[test]
+fn answers_out_of_order_reach_their_callers() {
+    let cluster = cluster();
+    for service in ["front", "back"] {
+        cluster
+            .change_behaviour(service, |behaviour| {
+                behaviour.jitter_us = 50_000;
+                behaviour.slots = 64;
+                behaviour.padding_bytes = 10_000;
+            })
+            .expect("the upstreams answer");
+    }
+    for instance in &cluster.instances {
+        wait_until("the new slots are announced", LIMIT, || {
+            node_status(instance.node_admin).is_some_and(|status| status["limit"] == 64)
+        })
+        .expect("the announcement arrives");
+    }
+    let entries = cluster.entries();
+    let callers: Vec<_> = (0..64usize)
+        .map(|number| {
+            let entry = entries[number % entries.len()];
+            thread::spawn(move || {
+                let caller = Caller::new();
+                for round in 0..5 {
+                    let path = format!("/pages/{number}-{round}");
+                    let reply = caller.get(entry, &path).expect("the read is answered");
+                    assert_eq!(reply.status, 200, "{reply:?}");
+                    assert_eq!(reply.body["path"], path);
+                    assert_eq!(reply.body["padding"].as_str().map(str::len), Some(10_000));
+                }
+            })
+        })
+        .collect();
+    for caller in callers {
+        caller.join().expect("every caller got its own answers");
+    }
+    cluster.stop().expect("every process ends well");
+}
+
+#[test]
+fn truncated_answer_is_never_whole() {
+    let cluster = cluster();
+    cluster
+        .change_behaviour("back", |behaviour| behaviour.is_truncating = true)
+        .expect("the upstreams answer");
+    let caller = Caller::new();
+    let entry = cluster.entries()[0];
+    for padding_bytes in [0, 500_000] {
+        cluster
+            .change_behaviour("back", |behaviour| behaviour.padding_bytes = padding_bytes)
+            .expect("the upstreams answer");
+        // A failed exchange is a visibly broken answer too.
+        if let Ok(reply) = caller.get(entry, "/pages/1") {
+            assert_ne!(reply.status, 200, "{reply:?}");
+        }
+    }
+}
+
+#[test]
+fn internal_headers_of_callers_are_dropped() {
+    let cluster = cluster();
+    let entry = cluster.entries()[0];
+    let request = Request::get(format!("http://{entry}/pages/1"))
+        .header("heatherweir-context", format!("1-{}-{}", "0".repeat(32), "0".repeat(16)))
+        .header("heatherweir-service", "back")
+        .header("heatherweir-outcome", "not-run");
+    let reply = Caller::new().send(request, ()).expect("the read is answered");
+    assert_eq!((reply.status, reply.outcome.as_str()), (200, "answered"));
+    let admin = cluster.instances_of("front").next().expect("a front").node_admin;
+    assert_eq!(counter(admin, "caller.forged_headers"), 3);
+}
+
+#[test]
+fn bad_input_gets_a_typed_error_and_hurts_no_other_request() {
+    let cluster = cluster();
+    let entry = cluster.entries()[0];
+    let egress = cluster.instances_of("front").next().expect("a front").egress;
+    let caller = Caller::new();
+    let check = |request: ureq::http::request::Builder, body: &str, status: u16, code: &str| {
+        let reply = caller.send(request, body).expect("bad input is answered");
+        assert_eq!((reply.status, reply.body["code"].as_str()), (status, Some(code)), "{reply:?}");
+        assert_eq!(reply.outcome, "not-run");
+    };
+    let to = |address: SocketAddr, path: &str| Request::post(format!("http://{address}{path}"));
+    check(to(entry, "/nowhere"), "", 404, "unknown-route");
+    check(to(entry, "/pages/1"), &"x".repeat(2_000_000), 413, "body-too-large");
+    check(to(entry, "/pages/1").header("idempotency-key", "k".repeat(300)), "", 400, "bad-request");
+    check(
+        to(egress, "/purchases/1").header("heatherweir-service", "back"),
+        "",
+        400,
+        "missing-idempotency-key",
+    );
+    check(to(egress, "/pages/1").header("heatherweir-service", "No Such"), "", 400, "bad-service");
+    check(to(egress, "/pages/1").header("heatherweir-service", "absent"), "", 503, "no-endpoint");
+    check(
+        to(egress, "/pages/1").header("heatherweir-context", "2-x-y"),
+        "",
+        400,
+        "missing-context",
+    );
+    let forged = format!("1-{}-{}", "a".repeat(32), "b".repeat(16));
+    check(to(egress, "/pages/1").header("heatherweir-context", forged), "", 409, "request-ended");
+    let announcement = Request::post(format!("http://{egress}/.heatherweir/announce"));
+    let reply = caller.send(announcement, "{\"service\":1}").expect("bad input is answered");
+    assert_eq!((reply.status, reply.body["code"].as_str()), (400, Some("bad-announcement")));
+    for junk in ["NONSENSE\r\n\r\n", "GET / HTTP/9.9\r\n\r\n"] {
+        assert!(raw(entry, junk).starts_with("HTTP/1.1 400"), "{junk:?}");
+    }
+    let large = format!("GET /pages/1 HTTP/1.1\r\nx: {}\r\n\r\n", "y".repeat(200_000));
+    assert!(raw(entry, &large).starts_with("HTTP/1.1 431"));
+    let reply = caller.get(entry, "/pages/1").expect("the read is answered");
+    assert_eq!(reply.status, 200);
+}
+
+/// Sends bytes and returns what comes back until the connection closes.
+fn raw(address: SocketAddr, text: &str) -> String {
+    let mut stream = TcpStream::connect(address).expect("the node listens");
+    stream.set_read_timeout(Some(LIMIT)).expect("the option is taken");
+    // The node may close before it has read everything.
+    let _ = stream.write_all(text.as_bytes());
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer);
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+#[test]
+fn refused_request_is_answered_at_once_and_did_not_run() {
+    let cluster = cluster();
+    cluster
+        .change_behaviour("back", |behaviour| behaviour.is_shedding = true)
+        .expect("the upstreams answer");
+    let caller = Caller::new();
+    let entry = cluster.entries()[0];
+    let reply = caller.charge(entry, "/purchases/1", "shed-1").expect("the refusal is answered");
+    assert_eq!((reply.status, reply.outcome.as_str()), (503, "not-run"), "{reply:?}");
+    assert!(reply.retry_after_s.is_some());
+    assert!(reply.elapsed < Duration::from_secs(1), "{:?}", reply.elapsed);
+    assert_eq!(cluster.runs_of("shed-1", "back").expect("the upstreams answer"), 0);
+    cluster
+        .change_behaviour("back", |behaviour| behaviour.is_shedding = false)
+        .expect("the upstreams answer");
+    wait_until("the released claim is granted again", LIMIT, || {
+        caller.charge(entry, "/purchases/1", "shed-1").is_ok_and(|reply| reply.status == 200)
+    })
+    .expect("the purchase goes through");
+    assert_eq!(cluster.runs_of("shed-1", "back").expect("the upstreams answer"), 1);
+}
+
+#[test]
+fn retries_of_one_request_stay_within_the_allowance() {
+    let cluster = cluster();
+    cluster
+        .change_behaviour("back", |behaviour| {
+            behaviour.is_hanging = true;
+        })
+        .expect("the upstreams answer");
+    let entry = cluster.entries()[0];
+    let request = Request::get(format!("http://{entry}/pages/1")).header("x-tag", "bounded");
+    let reply = Caller::new().send(request, ()).expect("the request is given up");
+    assert_eq!(reply.status, 504, "{reply:?}");
+    let runs = cluster.runs_of("bounded", "back").expect("the upstreams answer");
+    assert!((1..=4).contains(&runs), "{runs} runs for an allowance of 3 retries");
+}
+
+#[test]
+fn abandoned_request_is_cancelled_below() {
+    let cluster = cluster();
+    cluster
+        .change_behaviour("back", |behaviour| behaviour.is_hanging = true)
+        .expect("the upstreams answer");
+    let entry = cluster.entries()[0];
+    let mut stream = TcpStream::connect(entry).expect("the node listens");
+    stream.write_all(b"GET /pages/1 HTTP/1.1\r\nhost: x\r\n\r\n").expect("the request is sent");
+    let in_flight = || -> u64 {
+        let records = cluster.instances_of("back").map(|instance| {
+            testbed::upstream_client::record(instance.upstream_admin).map_or(0, |r| r.in_flight)
+        });
+        records.sum()
+    };
+    wait_until("the call runs", LIMIT, || in_flight() == 1).expect("the call reaches the back");
+    drop(stream);
+    wait_until("the call is cancelled", Duration::from_secs(1), || in_flight() == 0)
+        .expect("the work below ends with the caller");
+}
--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -1,21 +1,19 @@
 //! Runs a small deployment and sends requests through it as a caller.
 
-use std::io::Read;
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use sha2::{Digest, Sha256};
+use testbed::caller::{Caller, Reply};
 use testbed::cluster::Cluster;
 use testbed::deployment::Deployment;
 use testbed::process::wait_until;
 use testbed::upstream_client;
-use ureq::http::Response;
-use ureq::{Agent, Body, SendBody};
+use ureq::http::Request;
 
 use crate::error::ChoreError;
 
 const UPLOAD_BYTES: usize = 64 * 1024 * 1024;
-const REQUEST_TIMEOUT: Duration = Duration::from_secs(60);
 const QUORUM_LIMIT: Duration = Duration::from_secs(10);
 const WARM_UP_REQUESTS: usize = 20;
 
@@ -89,31 +87,15 @@
     }
 }
 
-/// What a caller got.
-struct Reply {
-    status: u16,
-    outcome: String,
-    reason: String,
-    retry_after_s: Option<u64>,
-    body: serde_json::Value,
-    text: String,
-    elapsed: Duration,
-}
-
 struct Demo<'a> {
     cluster: &'a Cluster,
-    agent: Agent,
+    caller: Caller,
     entry: SocketAddr,
 }
 
 impl<'a> Demo<'a> {
     fn new(cluster: &'a Cluster) -> Self {
-        let agent = Agent::config_builder()
-            .timeout_global(Some(REQUEST_TIMEOUT))
-            .http_status_as_error(false)
-            .build()
-            .into();
-        Self { cluster, agent, entry: cluster.entries()[0] }
+        Self { cluster, caller: Caller::new(), entry: cluster.entries()[0] }
     }
 
     fn warm_up(&self) -> Result<(), ChoreError> {
@@ -139,7 +121,7 @@
         self.print("charge-again", path, &second);
         check("the charge is answered", first.status == 200 && second.status == 200)?;
         check("both answers are the same", first.text == second.text)?;
-        let runs = self.runs_of("demo-key-1", self.cluster.deployment.charge_service)?;
+        let runs = self.cluster.runs_of("demo-key-1", self.cluster.deployment.charge_service)?;
         println!("  ran {runs} time(s) at {}", self.cluster.deployment.charge_service);
         check("the charge ran once", runs == 1)
     }
@@ -148,15 +130,8 @@
         let path = "/uploads/master-1";
         let content: Vec<u8> = (0..UPLOAD_BYTES).map(|i| (i * 31 % 251) as u8).collect();
         let expected = hex(&Sha256::digest(&content));
-        let started = Instant::now();
-        let mut reader = content.as_slice();
-        let body = SendBody::from_reader(&mut reader as &mut dyn Read);
-        let response = self
-            .agent
-            .put(format!("http://{}{path}", self.entry))
-            .content_type("application/octet-stream")
-            .send(body)?;
-        let reply = read_reply(response, started)?;
+        let request = Request::put(format!("http://{}{path}", self.entry));
+        let reply = self.caller.send(request, content.as_slice())?;
         self.print("upload", path, &reply);
         check("the upload is answered", reply.status == 200)?;
         check("the digest is the caller's", reply.body["body_sha256"] == expected)?;
@@ -187,7 +162,7 @@
         check("the caller hears that it did not run", reply.outcome == "not-run")?;
         check("the caller hears when to come back", reply.retry_after_s.is_some())?;
         check("reads go on", read.status == 200)?;
-        let runs = self.runs_of("demo-key-2", self.cluster.deployment.charge_service)?;
+        let runs = self.cluster.runs_of("demo-key-2", self.cluster.deployment.charge_service)?;
         check("the refused charge truly did not run", runs == 0)?;
         let mut healed = None;
         wait_until("the quorum is back", QUORUM_LIMIT, || {
@@ -197,34 +172,16 @@
         if let Some(reply) = &healed {
             self.print("charge-healed", path, reply);
         }
-        let runs = self.runs_of("demo-key-2", self.cluster.deployment.charge_service)?;
+        let runs = self.cluster.runs_of("demo-key-2", self.cluster.deployment.charge_service)?;
         check("the charge ran once after the quorum came back", runs == 1)
     }
 
     fn get(&self, path: &str) -> Result<Reply, ChoreError> {
-        let started = Instant::now();
-        let response = self.agent.get(format!("http://{}{path}", self.entry)).call()?;
-        read_reply(response, started)
+        Ok(self.caller.get(self.entry, path)?)
     }
 
     fn charge(&self, path: &str, key: &str) -> Result<Reply, ChoreError> {
-        let started = Instant::now();
-        let response = self
-            .agent
-            .post(format!("http://{}{path}", self.entry))
-            .header("idempotency-key", key)
-            .header("x-tag", key)
-            .send("charge")?;
-        read_reply(response, started)
-    }
-
-    fn runs_of(&self, tag: &str, service: &str) -> Result<u64, ChoreError> {
-        let mut runs = 0;
-        for instance in self.cluster.instances_of(service) {
-            let record = upstream_client::record(instance.upstream_admin)?;
-            runs += record.runs.get(tag).copied().unwrap_or(0);
-        }
-        Ok(runs)
+        Ok(self.caller.charge(self.entry, path, key)?)
     }
 
     /// Prints the path that the answer took and what is not the upstreams' own time.
@@ -257,23 +214,6 @@
     }
 }
 
-fn read_reply(mut response: Response<Body>, started: Instant) -> Result<Reply, ChoreError> {
-    let text = response.body_mut().read_to_string()?;
-    let header = |name: &str| {
-        let value = response.headers().get(name).and_then(|value| value.to_str().ok());
-        value.unwrap_or_default().to_owned()
-    };
-    Ok(Reply {
-        status: response.status().as_u16(),
-        outcome: header("heatherweir-outcome"),
-        reason: header("heatherweir-reason"),
-        retry_after_s: header("retry-after").parse().ok(),
-        body: serde_json::from_str(&text).unwrap_or_default(),
-        text,
-        elapsed: started.elapsed(),
-    })
-}
-
 fn check(what: &str, holds: bool) -> Result<(), ChoreError> {
     match holds {
         true => Ok(()),
--- a/xtask/src/error.rs
+++ b/xtask/src/error.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 
 use quick_error::quick_error;
+use testbed::caller::CallerError;
 use testbed::cluster::ClusterError;
 use testbed::process::ProcessError;
 use testbed::upstream_client::UpstreamClientError;
@@ -43,9 +44,9 @@
             from()
         }
         /// A request failed.
-        Http(source: Box<ureq::Error>) {
+        Caller(source: CallerError) {
             display("{}", source)
-            from(error: ureq::Error) -> (Box::new(error))
+            from()
         }
         /// The runtime cannot be started.
         Runtime(source: std::io::Error) {
