--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -130,7 +130,8 @@
         "term": view.term,
         "leader": view.leader.map(|id| id.to_string()),
         "members": view.membership.members.len(),
-        "voters": view.membership.voters().count(),
+        "voter_ids": member_ids(view, true),
+        "learner_ids": member_ids(view, false),
         "commit_index": view.commit_index,
         "last_index": view.last_index,
         "snapshot_index": view.snapshot_index,
@@ -141,6 +142,14 @@
     })
 }
 
+fn member_ids(view: &View, is_voter: bool) -> Vec<String> {
+    let members = view.membership.members.iter();
+    members
+        .filter(|(_, member)| member.is_voter == is_voter)
+        .map(|(id, _)| id.to_string())
+        .collect()
+}
+
 async fn serve(
     listener: TcpListener,
     shared: Shared,
--- a/crates/testbed/src/cluster.rs
+++ b/crates/testbed/src/cluster.rs
@@ -283,6 +283,31 @@
         front.map(entry).collect()
     }
 
+    /// Returns the index of the control replica that leads with a quorum.
+    pub fn leader(&self) -> Option<usize> {
+        self.controls.iter().position(|control| {
+            let status = admin_status(control.admin);
+            status.is_some_and(|status| status["role"] == "leader" && status["commit_index"] != 0)
+        })
+    }
+
+    /// Returns the ids of the voters, as the leader knows them.
+    pub fn voter_ids(&self) -> Vec<String> {
+        self.member_ids("voter_ids")
+    }
+
+    /// Returns the number of learners, as the leader knows them.
+    pub fn learner_count(&self) -> usize {
+        self.member_ids("learner_ids").len()
+    }
+
+    fn member_ids(&self, field: &str) -> Vec<String> {
+        let leader = self.leader().map(|index| self.controls[index].admin);
+        let Some(status) = leader.and_then(admin_status) else { return Vec::new() };
+        let ids = status[field].as_array().cloned().unwrap_or_default();
+        ids.iter().filter_map(|id| id.as_str().map(str::to_owned)).collect()
+    }
+
     /// Returns how often the work of a tagged request ran at a service.
     ///
     /// # Errors
@@ -554,6 +579,10 @@
 
 /// Reads the status of a node.
 pub fn node_status(admin: SocketAddr) -> Option<serde_json::Value> {
+    admin_status(admin)
+}
+
+fn admin_status(admin: SocketAddr) -> Option<serde_json::Value> {
     let agent: ureq::Agent =
         ureq::Agent::config_builder().timeout_global(Some(STATUS_TIMEOUT)).build().into();
     let mut response = agent.get(format!("http://{admin}/status")).call().ok()?;
--- /dev/null
+++ b/crates/testbed/tests/claims.rs
@@ -0,0 +1,188 @@
+//! Purchases run at most once, whatever fails between the claim and the answer.
+
+use std::net::SocketAddr;
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+use testbed::caller::{Caller, CallerError, Reply};
+use testbed::cluster::{Cluster, Instance};
+use testbed::deployment::Deployment;
+use testbed::process::wait_until;
+use testbed::upstream_client;
+use ureq::http::Request;
+
+const LIMIT: Duration = Duration::from_secs(20);
+const SLOW_US: u64 = 800_000;
+const PATH: &str = "/purchases/1";
+
+fn cluster(service_time_us: u64) -> Cluster {
+    let cluster = Cluster::start(Deployment::pair()).expect("the cluster starts");
+    cluster
+        .change_behaviour("back", |behaviour| behaviour.service_time_us = service_time_us)
+        .expect("the upstreams answer");
+    cluster
+}
+
+/// Listeners of the service that charges, so that answers are those of the claimed hop itself.
+fn charging_entries(cluster: &Cluster) -> Vec<SocketAddr> {
+    cluster.instances_of("back").map(|instance| instance.caller).collect()
+}
+
+fn charge_in_background(
+    entry: SocketAddr,
+    key: &'static str,
+) -> JoinHandle<Result<Reply, CallerError>> {
+    thread::spawn(move || Caller::new().charge(entry, PATH, key))
+}
+
+fn runs(cluster: &Cluster, key: &str) -> u64 {
+    let records = cluster.instances_of("back").filter_map(|instance| {
+        // A killed upstream ran what it had begun, which its successor does not know.
+        upstream_client::record(instance.upstream_admin).ok()
+    });
+    records.map(|record| record.runs.get(key).copied().unwrap_or(0)).sum()
+}
+
+/// Waits until a purchase runs at an upstream and returns the index of its instance.
+fn wait_running(cluster: &Cluster, key: &str) -> usize {
+    let is_running = |instance: &Instance| {
+        upstream_client::record(instance.upstream_admin)
+            .is_ok_and(|record| record.runs.contains_key(key))
+    };
+    let mut found = None;
+    wait_until("the purchase runs", LIMIT, || {
+        found = cluster.instances.iter().position(|i| i.service == "back" && is_running(i));
+        found.is_some()
+    })
+    .expect("the purchase reaches the back");
+    found.expect("the condition held")
+}
+
+/// Sends a key again by every entry and checks that its work is not run again.
+fn check_resends(cluster: &Cluster, key: &'static str) {
+    let caller = Caller::new();
+    for entry in cluster.entries().into_iter().cycle().take(4) {
+        let reply = caller.charge(entry, PATH, key).expect("the resend is answered");
+        let is_told_the_truth = reply.status == 200 || reply.outcome != "not-run";
+        assert!(is_told_the_truth, "{reply:?}");
+    }
+    assert!(runs(cluster, key) <= 1, "{} runs", runs(cluster, key));
+}
+
+#[test]
+fn resend_by_another_node_waits_for_the_first_answer() {
+    let cluster = cluster(SLOW_US);
+    let entries = charging_entries(&cluster);
+    let first = charge_in_background(entries[0], "waits");
+    wait_running(&cluster, "waits");
+    let second = Caller::new().charge(entries[1], PATH, "waits").expect("the resend is answered");
+    let first = first.join().expect("no panic").expect("the purchase is answered");
+    assert_eq!((first.status, second.status), (200, 200), "{second:?}");
+    assert_eq!(first.text, second.text);
+    let third = Caller::new().charge(entries[1], PATH, "waits").expect("the resend is answered");
+    assert_eq!(first.text, third.text);
+    assert_eq!(runs(&cluster, "waits"), 1);
+}
+
+#[test]
+fn key_with_another_body_is_a_conflict() {
+    let cluster = cluster(1_000);
+    let entry = charging_entries(&cluster)[0];
+    let caller = Caller::new();
+    assert_eq!(caller.charge(entry, PATH, "same").expect("answered").status, 200);
+    let request = Request::post(format!("http://{entry}{PATH}")).header("idempotency-key", "same");
+    let reply = caller.send(request, "another body").expect("the conflict is answered");
+    let code = reply.body["code"].as_str();
+    assert_eq!((reply.status, code), (409, Some("idempotency-key-conflict")), "{reply:?}");
+}
+
+#[test]
+fn purchase_whose_node_is_killed_does_not_run_again() {
+    let mut cluster = cluster(SLOW_US);
+    let first = charge_in_background(cluster.entries()[0], "node-killed");
+    let index = wait_running(&cluster, "node-killed");
+    cluster.instances[index].node.as_mut().expect("a node").kill();
+    if let Ok(reply) = first.join().expect("no panic") {
+        assert_ne!(reply.outcome, "not-run", "{reply:?}");
+    }
+    check_resends(&cluster, "node-killed");
+}
+
+#[test]
+fn purchase_whose_upstream_is_killed_does_not_run_again() {
+    let mut cluster = cluster(SLOW_US);
+    let first = charge_in_background(cluster.entries()[0], "upstream-killed");
+    let index = wait_running(&cluster, "upstream-killed");
+    cluster.restart_upstream(index).expect("the upstream starts again");
+    if let Ok(reply) = first.join().expect("no panic") {
+        assert_ne!(reply.outcome, "not-run", "{reply:?}");
+    }
+    // The successor does not know of the first run, so any run now is a second one.
+    let caller = Caller::new();
+    for entry in cluster.entries() {
+        let reply = caller.charge(entry, PATH, "upstream-killed").expect("answered");
+        assert_ne!(reply.outcome, "not-run", "{reply:?}");
+    }
+    assert_eq!(runs(&cluster, "upstream-killed"), 0);
+}
+
+#[test]
+fn purchase_whose_node_freezes_does_not_run_again() {
+    let cluster = cluster(SLOW_US);
+    let first = charge_in_background(cluster.entries()[0], "node-frozen");
+    let index = wait_running(&cluster, "node-frozen");
+    let node = cluster.instances[index].node.as_ref().expect("a node");
+    node.freeze().expect("the node freezes");
+    if let Ok(reply) = first.join().expect("no panic") {
+        assert_ne!(reply.outcome, "not-run", "{reply:?}");
+    }
+    check_resends(&cluster, "node-frozen");
+    node.thaw().expect("the node continues");
+    check_resends(&cluster, "node-frozen");
+}
+
+#[test]
+fn purchase_survives_the_loss_of_the_leader() {
+    let mut cluster = cluster(SLOW_US);
+    let entries = charging_entries(&cluster);
+    let first = charge_in_background(entries[0], "leader-killed");
+    wait_running(&cluster, "leader-killed");
+    let leader = cluster.leader().expect("there is a leader");
+    cluster.controls[leader].process.kill();
+    let reply = first.join().expect("no panic").expect("the purchase is answered");
+    assert_eq!(reply.status, 200, "{reply:?}");
+    check_resends(&cluster, "leader-killed");
+    let caller = Caller::new();
+    wait_until("the answer is kept by the new quorum", LIMIT, || {
+        let resent = caller.charge(entries[1], PATH, "leader-killed");
+        resent.is_ok_and(|resent| resent.status == 200 && resent.text == reply.text)
+    })
+    .expect("the resend gets the first answer");
+    assert_eq!(runs(&cluster, "leader-killed"), 1);
+}
+
+#[test]
+fn without_a_quorum_purchases_are_refused_and_reads_go_on() {
+    let cluster = cluster(1_000);
+    let caller = Caller::new();
+    let entry = cluster.entries()[0];
+    assert_eq!(caller.charge(entry, PATH, "before").expect("answered").status, 200);
+    for control in &cluster.controls[1..] {
+        control.process.freeze().expect("the replica freezes");
+    }
+    let reply = caller.charge(entry, PATH, "during").expect("the refusal is answered");
+    assert_eq!((reply.outcome.as_str(), reply.reason.as_str()), ("not-run", "no-quorum"));
+    assert!(reply.retry_after_s.is_some());
+    let resent = caller.charge(entry, PATH, "before").expect("the resend is answered");
+    assert_ne!(resent.outcome, "not-run", "the work of this key ran: {resent:?}");
+    assert_eq!(caller.get(entry, "/pages/1").expect("answered").status, 200);
+    for control in &cluster.controls[1..] {
+        control.process.thaw().expect("the replica continues");
+    }
+    wait_until("purchases go on", LIMIT, || {
+        caller.charge(entry, PATH, "during").is_ok_and(|reply| reply.status == 200)
+    })
+    .expect("the quorum comes back");
+    assert_eq!(runs(&cluster, "during"), 1);
+    assert_eq!(runs(&cluster, "before"), 1);
+}
