Tell a dying upstream from a broken connection; keep the harness out of the way of its relays

Cause: in the scenario poison one request killed three upstreams. A dying process may lose its connections a moment before its listener, so the first death passed for a broken connection and the read was retried at once.

--- a/crates/node/src/suspects.rs
+++ b/crates/node/src/suspects.rs
@@ -12,6 +12,8 @@
 use tokio::sync::{RwLock, RwLockWriteGuard};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
+const CONNECT_ATTEMPTS: u32 = 5;
+const CONNECT_PAUSE: Duration = Duration::from_millis(5);
 
 /// Suspects of the upstream beside the node.
 pub(crate) struct Suspects {
@@ -137,7 +139,15 @@
 }
 
 /// Returns whether nothing listens at the address of an upstream any more.
+///
+/// A dying process may lose its connections a moment before its listener.
 pub(crate) async fn is_dead(address: SocketAddr) -> bool {
-    let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
-    matches!(connect.await, Ok(Err(_)))
+    for _ in 0..CONNECT_ATTEMPTS {
+        let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+        if matches!(connect.await, Ok(Err(_))) {
+            return true;
+        }
+        tokio::time::sleep(CONNECT_PAUSE).await;
+    }
+    false
 }
--- a/crates/testbed/src/cluster.rs
+++ b/crates/testbed/src/cluster.rs
@@ -471,6 +471,17 @@
         Ok(listen)
     }
 
+    fn relayed_for_callers(
+        &self,
+        address: SocketAddr,
+        place: &str,
+    ) -> Result<SocketAddr, ClusterError> {
+        let Some(relays) = &self.relays else { return Ok(address) };
+        let listen = free_address()?;
+        relays.add_for_callers(address, listen, place)?;
+        Ok(listen)
+    }
+
     fn register(&self, process: &Process, place: &str) {
         if let Some(relays) = &self.relays {
             relays.links().register(process.pid(), place);
@@ -516,7 +527,7 @@
     ) -> Result<Instance, ClusterError> {
         let (spec, ports, vm) = (&plan.spec, &plan.ports, &plan.vm);
         let listens = NodeListens {
-            caller: self.relayed(ports.caller, plan.data_centre)?,
+            caller: self.relayed_for_callers(ports.caller, plan.data_centre)?,
             peer: self.relayed(ports.peer, plan.data_centre)?,
         };
         let node_arguments = self.node_arguments(plan, &listens);
--- a/crates/testbed/src/relay.rs
+++ b/crates/testbed/src/relay.rs
@@ -81,14 +81,11 @@
     }
 
     /// Finds the place of the process that opened a connection, by its socket.
-    fn place_of(&self, stream: &TcpStream) -> Place {
-        let find = || -> io::Result<Option<Place>> {
-            let inode = socket_inode(stream.peer_addr()?, stream.local_addr()?)?;
-            let Some(inode) = inode else { return Ok(None) };
-            let processes = self.processes().clone();
-            Ok(processes.into_iter().rev().find(|(pid, _)| has_socket(*pid, inode)).map(|p| p.1))
-        };
-        find().ok().flatten().unwrap_or_default()
+    fn place_of(&self, peer: SocketAddr, local: SocketAddr) -> Place {
+        let Ok(Some(inode)) = socket_inode(peer, local) else { return Place::new() };
+        let processes = self.processes().clone();
+        let found = processes.into_iter().rev().find(|(pid, _)| has_socket(*pid, inode));
+        found.map(|(_, place)| place).unwrap_or_default()
     }
 }
 
@@ -130,7 +127,7 @@
     /// Returns an error if the runtime cannot be started.
     pub fn new() -> io::Result<Self> {
         let runtime =
-            tokio::runtime::Builder::new_multi_thread().worker_threads(1).enable_all().build()?;
+            tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
         Ok(Self { runtime, links: Arc::new(Links::default()) })
     }
 
@@ -145,38 +142,87 @@
     ///
     /// Returns an error if the address cannot be used.
     pub fn add(&self, listen: SocketAddr, target: SocketAddr, place: &str) -> io::Result<()> {
+        let relay = Relay { target, place: place.to_owned(), source: Source::Processes };
+        self.spawn(listen, relay)
+    }
+
+    /// Relays an address for callers, who stand in no place.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address cannot be used.
+    pub fn add_for_callers(
+        &self,
+        listen: SocketAddr,
+        target: SocketAddr,
+        place: &str,
+    ) -> io::Result<()> {
+        let relay = Relay { target, place: place.to_owned(), source: Source::Callers };
+        self.spawn(listen, relay)
+    }
+
+    fn spawn(&self, listen: SocketAddr, relay: Relay) -> io::Result<()> {
         let listener = self.runtime.block_on(TcpListener::bind(listen))?;
-        let links = Arc::clone(&self.links);
-        self.runtime.spawn(accept(listener, target, place.to_owned(), links));
+        self.runtime.spawn(relay.accept(listener, Arc::clone(&self.links)));
         Ok(())
     }
 }
 
-async fn accept(listener: TcpListener, target: SocketAddr, place: Place, links: Arc<Links>) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else { continue };
-        let links = Arc::clone(&links);
-        let place = place.clone();
-        tokio::spawn(async move {
-            let from = links.place_of(&stream);
-            let number = links.opened.fetch_add(1, Ordering::Relaxed);
-            while links.is_cut(&from, &place) || links.is_cut(&place, &from) {
-                tokio::time::sleep(POLL).await;
-            }
-            let Ok(upstream) = TcpStream::connect(target).await else { return };
-            let _ = (stream.set_nodelay(true), upstream.set_nodelay(true));
-            let (client_read, client_write) = stream.into_split();
-            let (server_read, server_write) = upstream.into_split();
-            let way = |from: &Place, to: &Place| Way {
-                links: Arc::clone(&links),
-                from: from.clone(),
-                to: to.clone(),
-                number,
-            };
-            let forth = pump(client_read, server_write, way(&from, &place));
-            let back = pump(server_read, client_write, way(&place, &from));
-            tokio::join!(forth, back);
-        });
+/// Who connects to a relay.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Source {
+    /// Processes of the system, each in its place.
+    Processes,
+    /// Callers.
+    Callers,
+}
+
+#[derive(Debug, Clone)]
+struct Relay {
+    target: SocketAddr,
+    place: Place,
+    source: Source,
+}
+
+impl Relay {
+    async fn accept(self, listener: TcpListener, links: Arc<Links>) {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else { continue };
+            tokio::spawn(self.clone().connect(stream, Arc::clone(&links)));
+        }
+    }
+
+    async fn connect(self, stream: TcpStream, links: Arc<Links>) {
+        let from = self.source_of(&stream, &links).await;
+        let number = links.opened.fetch_add(1, Ordering::Relaxed);
+        while links.is_cut(&from, &self.place) || links.is_cut(&self.place, &from) {
+            tokio::time::sleep(POLL).await;
+        }
+        let Ok(upstream) = TcpStream::connect(self.target).await else { return };
+        let _ = (stream.set_nodelay(true), upstream.set_nodelay(true));
+        let (client_read, client_write) = stream.into_split();
+        let (server_read, server_write) = upstream.into_split();
+        let way = |from: &Place, to: &Place| Way {
+            links: Arc::clone(&links),
+            from: from.clone(),
+            to: to.clone(),
+            number,
+        };
+        let forth = pump(client_read, server_write, way(&from, &self.place));
+        let back = pump(server_read, client_write, way(&self.place, &from));
+        tokio::join!(forth, back);
+    }
+
+    async fn source_of(&self, stream: &TcpStream, links: &Arc<Links>) -> Place {
+        if self.source == Source::Callers {
+            return Place::new();
+        }
+        let (Ok(peer), Ok(local)) = (stream.peer_addr(), stream.local_addr()) else {
+            return Place::new();
+        };
+        let links = Arc::clone(links);
+        let found = tokio::task::spawn_blocking(move || links.place_of(peer, local)).await;
+        found.unwrap_or_default()
     }
 }
 
--- a/xtask/src/measure/judge.rs
+++ b/xtask/src/measure/judge.rs
@@ -11,6 +11,8 @@
 
 /// Share of the earlier goodput that counts as recovered.
 const RECOVERED_SHARE: f64 = 0.95;
+/// Share of good requests before the fault without which a recovery means nothing.
+const MIN_BASELINE: f64 = 0.9;
 const WINDOW: Duration = Duration::from_millis(250);
 const MAX_LATENCY_US: u64 = 60_000_000;
 const SIGNIFICANT_DIGITS: u8 = 3;
@@ -231,6 +233,9 @@
 fn recovery_ms(scenario: &Scenario, samples: &[Sample]) -> Option<u64> {
     let total: Duration = scenario.phases.iter().map(|phase| phase.duration).sum();
     let baseline = good_share(samples, WARM_UP, scenario.fault_from)?;
+    if baseline < MIN_BASELINE {
+        return None;
+    }
     let mut recovered_at = scenario.fault_until;
     let mut from = scenario.fault_until;
     let mut is_good_at_end = true;
