Avoid upstreams that fail fast; defer suspects on a busy upstream; report service-level burn

Upstreams that answer with server errors looked idle and drew traffic: a front whose data centre had one such back answered 500 (test upstream_that_fails_fast_is_avoided, seen failing). Suspects of lower class are now refused while more than 75 % of the limit is in use. A resend of an answer that was too large to keep got its status with an empty body, which looked whole; it is told answer-not-kept now. The fake upstream did not end while callers without the layer kept sending (scenario leaving, arm direct); it closes its listener now.

--- a/crates/model/src/outcome.rs
+++ b/crates/model/src/outcome.rs
@@ -89,6 +89,8 @@
     ConnectionLost = "connection-lost", 502, true;
     /// The upstream process died while the call ran.
     UpstreamDied = "upstream-died", 502, false;
+    /// The upstream answered with a server error of its own.
+    UpstreamError = "upstream-error", 502, true;
     /// An attempt took too long.
     AttemptTimeout = "attempt-timeout", 504, true;
     /// The deadline of the whole request passed.
@@ -109,6 +111,8 @@
     KeyConflict = "idempotency-key-conflict", 409, false;
     /// An earlier request with this key may have run.
     ClaimUnknown = "claim-unknown", 409, false;
+    /// The request ran before, and its answer was too large to keep.
+    AnswerNotKept = "answer-not-kept", 409, false;
     /// The request crashed upstreams and is quarantined.
     Quarantined = "quarantined", 422, false;
     /// The request head is malformed.
--- a/crates/node/src/caller_listener.rs
+++ b/crates/node/src/caller_listener.rs
@@ -5,8 +5,9 @@
 use daemon::Clock;
 use http::{HeaderMap, HeaderValue, Request, Response, header};
 use hyper::body::Incoming;
-use model::{Class, Outcome, Reason, RequestId, headers};
+use model::{Class, Outcome, Reason, RequestId, Route, headers};
 use policy::US_PER_MS;
+use policy::burn::Quality;
 use slog::{Logger, debug};
 
 use crate::answer::{Answer, CallFailure, insert_request_id};
@@ -54,7 +55,8 @@
             idempotency_key,
             entry_vm: self.dispatcher.vm.name.clone(),
         };
-        let (route, policy) = self.dispatcher.route(&head).map_err(refuse)?;
+        let matched = self.dispatcher.route(&head).map_err(refuse)?;
+        let (route, policy) = (&matched.route, &matched.policy);
         if route.is_claimed && head.idempotency_key.is_none() {
             return Err(refuse(Reason::MissingKey));
         }
@@ -66,8 +68,16 @@
                 BodyError::TooLarge => refuse(Reason::BodyTooLarge),
                 _ => refuse(Reason::TruncatedRequest),
             })?;
+        let started_us = self.dispatcher.clock.now_us();
+        let (service, allowance) = (head.service.clone(), head.retry_allowance);
         let parent = Arc::new(ActiveCall::new(&head, 0));
-        self.dispatcher.run(OutboundCall { head, route: policy, parent }, body).await
+        let call = OutboundCall { head, route: policy.clone(), parent: Arc::clone(&parent) };
+        let result = self.dispatcher.run(call, body).await;
+        let elapsed_us = self.dispatcher.clock.now_us().saturating_sub(started_us);
+        let quality = quality(&result, elapsed_us, route);
+        let retries = allowance - parent.ledger().available();
+        self.dispatcher.burn.record(&service, &matched.profile, route, quality, retries);
+        result
     }
 
     /// Drops headers that callers may not send.
@@ -119,6 +129,18 @@
     }
 }
 
+/// Judges a request by its route's objective. What the caller did wrong is not held against it.
+fn quality(result: &Result<Answer, CallFailure>, elapsed_us: u64, route: &Route) -> Quality {
+    let is_served = match result {
+        Ok(answer) => !answer.status.is_server_error(),
+        Err(failure) => failure.reason.status() < 499,
+    };
+    match is_served && elapsed_us <= route.objective.latency_ms * US_PER_MS {
+        true => Quality::Good,
+        false => Quality::Bad,
+    }
+}
+
 /// Makes the HTTP answer of a call that was answered.
 pub(crate) fn into_response(answer: Answer, request_id: RequestId) -> Response<AnswerBody> {
     let mut response = Response::new(answer.body);
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -4,13 +4,14 @@
 use std::time::Duration;
 
 use daemon::Clock;
-use model::{Outcome, Reason, Route, RouteName, Vm, VmName};
+use model::{Outcome, ProfileName, Reason, Route, RouteName, Vm, VmName};
 use policy::US_PER_MS;
 use policy::retry::{self, AttemptLimits, FailedAttempt};
 use policy::routing::{AttemptResult, ReportedLoad};
 
 use crate::answer::{Answer, CallFailure, NodeLoad};
 use crate::body::{AnswerBody, CallBody};
+use crate::burn_log::BurnLog;
 use crate::call::{ActiveCall, CallHead};
 use crate::ingress::Ingress;
 use crate::peer_client::PeerClients;
@@ -30,6 +31,7 @@
     pub(crate) profiles: Arc<ProfileStore>,
     pub(crate) peers: PeerClients,
     pub(crate) stats: Arc<Stats>,
+    pub(crate) burn: BurnLog,
 }
 
 /// A call about to be sent.
@@ -40,6 +42,13 @@
     pub(crate) parent: Arc<ActiveCall>,
 }
 
+/// Route of a call and the profile that it belongs to.
+pub(crate) struct RouteMatch {
+    pub(crate) profile: ProfileName,
+    pub(crate) route: Route,
+    pub(crate) policy: RoutePolicy,
+}
+
 /// What the callee's profile says of a call.
 #[derive(Debug, Clone)]
 pub(crate) struct RoutePolicy {
@@ -52,7 +61,7 @@
 
 impl Dispatcher {
     /// Returns the route of a call in its service's profile.
-    pub(crate) fn route(&self, head: &CallHead) -> Result<(Route, RoutePolicy), Reason> {
+    pub(crate) fn route(&self, head: &CallHead) -> Result<RouteMatch, Reason> {
         let routes = self.routes.get(&head.service).ok_or(Reason::NoEndpoint)?;
         let name = routes.profile().ok_or(Reason::NoEndpoint)?;
         let profile = self.profiles.get(&name).ok_or(Reason::NoProfile)?;
@@ -65,7 +74,7 @@
             budget_percent: profile.retries.budget_percent,
             allowance: profile.retries.allowance,
         };
-        Ok((route.clone(), policy))
+        Ok(RouteMatch { profile: name, route: route.clone(), policy })
     }
 
     /// Sends a call until it is answered or given up.
@@ -85,21 +94,35 @@
                 return Err(CallFailure::not_run(Reason::NoEndpoint, 0, Some(body)));
             };
             tried.push(endpoint.vm.clone());
+            let replay = body.replay();
             let failure = match self.attempt(&call, &routes, &tried, &endpoint, body).await {
+                Ok(answer) if is_sick(&answer) => {
+                    let failed = FailedAttempt {
+                        outcome: Outcome::Unknown,
+                        reason: Reason::UpstreamError,
+                        is_final: answer.is_final,
+                        is_replayable: replay.is_some(),
+                    };
+                    if !self.may_retry(&call, &routes, &tried, failed) {
+                        return Ok(answer);
+                    }
+                    CallFailure { body: replay, ..CallFailure::unknown(Reason::UpstreamError) }
+                }
                 Ok(answer) => {
                     routes.budget().record_success();
                     return Ok(answer);
                 }
-                Err(failure) => failure,
-            };
-            let is_retried = self.may_retry(&call, &routes, &tried, &failure);
-            body = match (is_retried, failure) {
-                (true, CallFailure { body: Some(next), .. }) => next,
-                (_, failure) => {
-                    call.parent.give_up();
-                    return Err(CallFailure { is_final: true, ..failure });
+                Err(failure) => {
+                    if !self.may_retry(&call, &routes, &tried, failed_attempt(&failure)) {
+                        call.parent.give_up();
+                        return Err(CallFailure { is_final: true, ..failure });
+                    }
+                    failure
                 }
             };
+            // A retry is worthwhile only with a body that can be sent again.
+            let Some(next) = failure.body else { return Err(failure) };
+            body = next;
             self.stats.add(Counter::Retries);
         }
     }
@@ -203,14 +226,8 @@
         call: &OutboundCall,
         routes: &ServiceRoutes,
         tried: &[VmName],
-        failure: &CallFailure,
+        failed: FailedAttempt,
     ) -> bool {
-        let failed = FailedAttempt {
-            outcome: failure.outcome,
-            reason: failure.reason,
-            is_final: failure.is_final,
-            is_replayable: failure.body.is_some(),
-        };
         let limits = AttemptLimits {
             is_idempotent: call.route.is_idempotent,
             remaining_us: call.head.deadline_us.saturating_sub(self.clock.now_us()),
@@ -227,6 +244,20 @@
     }
 }
 
+/// Returns whether an upstream answered with an error of its own, not of a service below it.
+fn is_sick(answer: &Answer) -> bool {
+    answer.status.is_server_error() && !answer.is_final
+}
+
+fn failed_attempt(failure: &CallFailure) -> FailedAttempt {
+    FailedAttempt {
+        outcome: failure.outcome,
+        reason: failure.reason,
+        is_final: failure.is_final,
+        is_replayable: failure.body.is_some(),
+    }
+}
+
 /// Gives the unspent allowance back now, or with the end of a streaming body.
 fn settle_allowance(mut answer: Answer, call: &OutboundCall, lent: u32) -> Answer {
     match &mut answer.body {
@@ -256,6 +287,7 @@
             Err(failure) => failure.load,
         };
         let ended = match result {
+            Ok(answer) if is_sick(answer) => AttemptResult::Failed,
             Ok(_) => AttemptResult::Answered { latency_us },
             Err(failure) => attempt_result(failure),
         };
--- a/crates/node/src/egress_listener.rs
+++ b/crates/node/src/egress_listener.rs
@@ -15,7 +15,7 @@
 use crate::body::{AnswerBody, BodyError, CallBody};
 use crate::call::{ActiveCall, CallHead};
 use crate::caller_listener;
-use crate::dispatch::{Dispatcher, OutboundCall};
+use crate::dispatch::{Dispatcher, OutboundCall, RouteMatch};
 use crate::http_listener::Handler;
 use crate::stats::Counter;
 
@@ -101,7 +101,7 @@
             idempotency_key: own_key.or(parent_key),
             entry_vm: self.dispatcher.vm.name.clone(),
         };
-        let (route, policy) = self.dispatcher.route(&head).map_err(refuse)?;
+        let RouteMatch { route, policy, .. } = self.dispatcher.route(&head).map_err(refuse)?;
         let now_us = self.dispatcher.clock.now_us();
         let own_deadline_us = now_us + route.deadline_ms * US_PER_MS;
         head.deadline_us = parent.deadline_us().min(own_deadline_us);
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -198,6 +198,10 @@
         {
             Ok(Claim::None) => None,
             Ok(Claim::Held(target)) => Some(target),
+            Ok(Claim::Finished(answer)) if answer.is_truncated => {
+                // A part of an answer would look whole.
+                return Err(CallFailure::unknown(Reason::AnswerNotKept).with_load(self.load()));
+            }
             Ok(Claim::Finished(answer)) => return Ok(stored_answer(answer, allowance)),
             Err(ClaimError::NoQuorum) => return Err(refuse(Reason::NoQuorum, body)),
             Err(ClaimError::Conflict) => return Err(refuse(Reason::KeyConflict, body)),
@@ -257,7 +261,8 @@
         let digest = RequestDigest::new(&head, &body).short();
         let allowance = head.retry_allowance;
         let left = self.remaining(&head);
-        let turn = tokio::time::timeout(left, self.suspects.turn(digest)).await;
+        let turn = self.suspects.turn(digest, head.class, self.gate.load());
+        let turn = tokio::time::timeout(left, turn).await;
         let turn = match turn.unwrap_or(Err(Reason::DeadlineExceeded)) {
             Ok(turn) => turn,
             Err(reason) => {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 mod admission_gate;
 mod answer;
 mod body;
+mod burn_log;
 mod call;
 mod caller_listener;
 mod claim_client;
@@ -31,5 +32,6 @@
 
 pub use crate::{
     server::{ServerError, run},
-    settings::{Settings, command},
+    settings::{Settings, SettingsError, command},
+    stats::metrics,
 };
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -14,6 +14,7 @@
 use tonic::transport::Server;
 use tonic::transport::server::TcpIncoming;
 
+use crate::burn_log::BurnLog;
 use crate::caller_listener::CallerHandler;
 use crate::claim_client::ClaimClient;
 use crate::claim_guard::ClaimGuard;
@@ -148,7 +149,8 @@
     }));
     let vm = settings.vm.clone();
     let peers = PeerClients::default();
-    Ok(Arc::new(Dispatcher { clock, vm, ingress, routes, profiles, peers, stats }))
+    let burn = BurnLog::new();
+    Ok(Arc::new(Dispatcher { clock, vm, ingress, routes, profiles, peers, stats, burn }))
 }
 
 fn start_control(link: ControlLink) -> io::Result<JoinHandle<()>> {
@@ -164,6 +166,7 @@
     let dispatcher = Arc::clone(dispatcher);
     let handler = move |method: &str, path: &str, _body: &str| match (method, path) {
         ("GET", "/status") => AdminReply::json(200, status_json(&dispatcher).to_string()),
+        ("GET", "/burn") => AdminReply::json(200, dispatcher.burn.to_json().to_string()),
         _ => AdminReply::not_found(),
     };
     Ok(AdminServer::start(settings.admin_listen, handler)?)
--- a/crates/node/src/stats.rs
+++ b/crates/node/src/stats.rs
@@ -85,6 +85,11 @@
     ClaimsNoQuorum = "claims.no_quorum";
 }
 
+/// Returns the name of every metric, without the prefix.
+pub fn metrics() -> impl Iterator<Item = &'static str> {
+    Counter::ALL.iter().map(|counter| counter.as_str())
+}
+
 /// Counts of one node.
 #[derive(Debug)]
 pub(crate) struct Stats {
--- a/crates/node/src/suspects.rs
+++ b/crates/node/src/suspects.rs
@@ -5,12 +5,15 @@
 use std::time::{Duration, Instant};
 
 use daemon::Clock;
-use model::Reason;
+use model::{Class, Reason};
+use policy::admission::AdmissionLoad;
 use policy::quarantine::{Digest, Presence, ProcessId, Quarantine, Standing};
 use rpc::{DeathReport, RunningRequest};
 use tokio::net::TcpStream;
 use tokio::sync::{RwLock, RwLockWriteGuard};
 
+/// Share of the limit in use up to which suspects of lower class run, in percent.
+const MAX_BUSY_PERCENT: u32 = 75;
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 const CONNECT_ATTEMPTS: u32 = 5;
 const CONNECT_PAUSE: Duration = Duration::from_millis(5);
@@ -70,10 +73,24 @@
     }
 
     /// Waits for a call's turn to start.
-    pub(crate) async fn turn(&self, digest: Digest) -> Result<Turn<'_>, Reason> {
-        if self.standing(digest) == Standing::Clear {
-            drop(self.isolation.read().await);
-            return Ok(Turn::Ordinary);
+    ///
+    /// Isolation costs a busy upstream its whole goodput for as long as the suspect runs, so a suspect of
+    /// lower class is refused while there is no room for that.
+    pub(crate) async fn turn(
+        &self,
+        digest: Digest,
+        class: Class,
+        load: AdmissionLoad,
+    ) -> Result<Turn<'_>, Reason> {
+        match self.standing(digest) {
+            Standing::Clear => {
+                drop(self.isolation.read().await);
+                return Ok(Turn::Ordinary);
+            }
+            Standing::Suspect if class < Class::Critical && is_busy(load) => {
+                return Err(Reason::Overloaded);
+            }
+            Standing::Suspect | Standing::Quarantined => {}
         }
         let ordinary_until = *self.ordinary_until();
         tokio::time::sleep_until(ordinary_until.into()).await;
@@ -127,6 +144,10 @@
     }
 }
 
+fn is_busy(load: AdmissionLoad) -> bool {
+    load.in_flight * 100 > load.limit * MAX_BUSY_PERCENT
+}
+
 /// Makes the report of one request that was running in a death.
 pub(crate) fn death_report(
     vm: &str,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod admission;
 pub mod allowance;
 pub mod budget;
+pub mod burn;
 pub mod limit;
 pub mod quarantine;
 pub mod reserve;
--- a/crates/testbed/src/cluster.rs
+++ b/crates/testbed/src/cluster.rs
@@ -1,5 +1,7 @@
 //! All processes of a small deployment on loopback.
 
+mod plan;
+
 use std::fs;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -9,7 +11,8 @@
 use quick_error::quick_error;
 use tempfile::TempDir;
 
-use crate::deployment::{Deployment, ServiceSpec};
+use self::plan::{InstancePlan, Layer, NodeListens, Ports, flags};
+use crate::deployment::Deployment;
 use crate::process::{Process, ProcessError, free_address, program_dir, wait_until};
 use crate::relay::{Links, Relays};
 use crate::upstream::Behaviour;
@@ -530,21 +533,8 @@
             caller: self.relayed_for_callers(ports.caller, plan.data_centre)?,
             peer: self.relayed(ports.peer, plan.data_centre)?,
         };
-        let node_arguments = self.node_arguments(plan, &listens);
-        let mut upstream_arguments = vec!["upstream".to_owned()];
-        upstream_arguments.extend(flags(&[
-            ("--vm", vm.clone()),
-            ("--service", spec.name.to_owned()),
-            ("--profile", spec.profile.to_owned()),
-            ("--listen", ports.upstream.to_string()),
-            ("--admin-listen", ports.upstream_admin.to_string()),
-            ("--slots", spec.slots.to_string()),
-            ("--connections", spec.connections.to_string()),
-            ("--service-time-us", spec.service_time_us.to_string()),
-        ]));
-        for call in spec.calls {
-            upstream_arguments.extend(flags(&[("--call", (*call).to_owned())]));
-        }
+        let node_arguments = plan.node_arguments(&listens, &self.controls);
+        let mut upstream_arguments = plan.upstream_arguments();
         let mut node = None;
         match layer {
             Layer::Direct(targets) => upstream_arguments.extend(targets.iter().cloned()),
@@ -581,68 +571,6 @@
         let program = self.programs.fakes.join("heatherweir-testbed");
         Process::start(format!("{vm}-upstream"), &program, arguments.to_vec(), self.dir.path())
     }
-
-    fn node_arguments(&self, plan: &InstancePlan, listens: &NodeListens) -> Vec<String> {
-        let ports = &plan.ports;
-        let mut arguments = flags(&[
-            ("--vm", plan.vm.clone()),
-            ("--data-centre", plan.data_centre.to_owned()),
-            ("--caller-listen", listens.caller.to_string()),
-            ("--egress-listen", ports.egress.to_string()),
-            ("--peer-listen", listens.peer.to_string()),
-            ("--peer-advertise", ports.peer.to_string()),
-            ("--admin-listen", ports.node_admin.to_string()),
-        ]);
-        let (own, others): (Vec<_>, Vec<_>) =
-            self.controls.iter().partition(|control| control.data_centre == plan.data_centre);
-        for control in own.into_iter().chain(others) {
-            arguments.extend(flags(&[("--control", control.address.to_string())]));
-        }
-        arguments
-    }
-}
-
-/// How upstreams call each other.
-enum Layer<'a> {
-    /// Through nodes.
-    Nodes,
-    /// Directly, with these target flags.
-    Direct(&'a [String]),
-}
-
-/// Addresses on which a node listens, behind relays if there are any.
-struct NodeListens {
-    caller: SocketAddr,
-    peer: SocketAddr,
-}
-
-struct InstancePlan {
-    spec: ServiceSpec,
-    vm: String,
-    data_centre: &'static str,
-    ports: Ports,
-}
-
-struct Ports {
-    caller: SocketAddr,
-    egress: SocketAddr,
-    peer: SocketAddr,
-    node_admin: SocketAddr,
-    upstream: SocketAddr,
-    upstream_admin: SocketAddr,
-}
-
-impl Ports {
-    fn new() -> Result<Self, ProcessError> {
-        Ok(Self {
-            caller: free_address()?,
-            egress: free_address()?,
-            peer: free_address()?,
-            node_admin: free_address()?,
-            upstream: free_address()?,
-            upstream_admin: free_address()?,
-        })
-    }
 }
 
 /// Reads the status of a node.
@@ -664,7 +592,3 @@
     }
     Err(ClusterError::Exit(process.name().to_owned(), status))
 }
-
-fn flags(pairs: &[(&str, String)]) -> Vec<String> {
-    pairs.iter().flat_map(|(flag, value)| [(*flag).to_owned(), value.clone()]).collect()
-}
--- a/crates/testbed/src/upstream/server.rs
+++ b/crates/testbed/src/upstream/server.rs
@@ -23,7 +23,7 @@
 use sha2::{Digest, Sha256};
 use slog::{Logger, info};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
+use tokio::sync::{Semaphore, watch};
 
 use super::answers::{
     AnswerBody, CallBody, ReceiverFrames, json, plain, relayed_failure, shed_answer, truncated,
@@ -89,16 +89,16 @@
     info!(log, "upstream-started"; "vm" => %fake.settings.vm, "service" => %fake.settings.service,
         "listen" => %listener.local_addr()?, "admin" => %admin.address());
     let announcer = tokio::spawn(announce_always(Arc::clone(&fake)));
-    let serving = tokio::spawn(serve(Arc::clone(&fake), listener));
+    let (stop_serving, stop) = watch::channel(false);
+    let serving = tokio::spawn(serve(Arc::clone(&fake), listener, stop));
     daemon::stop_requested().await?;
     fake.behaviour().is_leaving = true;
     announce(&fake).await;
     tokio::time::sleep(LEAVE_NOTICE).await;
-    while fake.record().in_flight > 0 {
-        tokio::time::sleep(Duration::from_millis(10)).await;
-    }
+    // Whoever still sends, as callers without the layer do, finds the listener closed.
+    let _ = stop_serving.send(true);
+    let _ = serving.await;
     announcer.abort();
-    serving.abort();
     info!(log, "upstream-stopped");
     Ok(())
 }
@@ -186,14 +186,20 @@
     }
 }
 
-async fn serve(fake: Arc<Fake>, listener: TcpListener) {
+async fn serve(fake: Arc<Fake>, listener: TcpListener, mut stop: watch::Receiver<bool>) {
     let graceful = GracefulShutdown::new();
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            continue;
-        };
-        serve_connection(&fake, stream, &graceful);
+        tokio::select! {
+            accepted = listener.accept() => {
+                if let Ok((stream, _)) = accepted {
+                    serve_connection(&fake, stream, &graceful);
+                }
+            }
+            _ = stop.changed() => break,
+        }
     }
+    drop(listener);
+    graceful.shutdown().await;
 }
 
 fn serve_connection(fake: &Arc<Fake>, stream: TcpStream, graceful: &GracefulShutdown) {
--- a/crates/testbed/tests/claims.rs
+++ b/crates/testbed/tests/claims.rs
@@ -233,3 +233,19 @@
     let other = upstream_client::record(cluster.instances[1].upstream_admin).expect("it answers");
     assert_eq!(other.runs.get("front-killed"), None);
 }
+
+#[test]
+fn resend_of_a_large_answer_gets_no_part_of_it() {
+    let cluster = cluster(1_000);
+    cluster
+        .change_behaviour("back", |behaviour| behaviour.padding_bytes = 200_000)
+        .expect("the upstreams answer");
+    let entry = charging_entries(&cluster)[0];
+    let caller = Caller::new();
+    let first = caller.charge(entry, PATH, "large").expect("the purchase is answered");
+    assert_eq!(first.body["padding"].as_str().map(str::len), Some(200_000));
+    let resent = caller.charge(entry, PATH, "large").expect("the resend is answered");
+    let code = resent.body["code"].as_str();
+    assert_eq!((resent.status, code), (409, Some("answer-not-kept")), "{resent:?}");
+    assert_eq!(runs(&cluster, "large"), 1);
+}
--- a/crates/testbed/tests/path.rs
+++ b/crates/testbed/tests/path.rs
@@ -208,3 +208,18 @@
     wait_until("the call is cancelled", Duration::from_secs(1), || in_flight() == 0)
         .expect("the work below ends with the caller");
 }
+
+#[test]
+fn upstream_that_fails_fast_is_avoided() {
+    let cluster = cluster();
+    let sick = cluster.instances_of("back").next().expect("a back");
+    testbed::upstream_client::change(sick.upstream_admin, |behaviour| behaviour.fail_percent = 100)
+        .expect("the upstream answers");
+    let caller = Caller::new();
+    // The sick one stands in the data centre of this front, which prefers it.
+    let entry = cluster.entries()[0];
+    for number in 0..40 {
+        let reply = caller.get(entry, &format!("/pages/{number}")).expect("the read is answered");
+        assert_eq!(reply.status, 200, "{number}: {reply:?}");
+    }
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -4,6 +4,7 @@
 mod demo;
 mod error;
 mod measure;
+mod slopes;
 mod tidy;
 
 use std::path::PathBuf;
@@ -52,6 +53,7 @@
                 ),
         )
         .subcommand(measure_command())
+        .subcommand(Command::new("slopes").about("Measures what control costs per node"))
         .subcommand(Command::new("tidy").about("Checks the source text"))
         .get_matches();
     match matches.subcommand() {
@@ -70,6 +72,8 @@
             json: daemon::optional(arguments, "json"),
             arms: daemon::values(arguments, "arm"),
         }),
+        Some(("slopes", _)) if cfg!(debug_assertions) => measure::run_release(&["slopes"]),
+        Some(("slopes", _)) => slopes::run(),
         Some(("tidy", _)) => tidy::check(),
         Some(("demo", arguments)) => {
             let deployment: String = daemon::required(arguments, "deployment");
--- a/xtask/src/measure.rs
+++ b/xtask/src/measure.rs
@@ -30,7 +30,7 @@
 /// Runs a scenario in every arm and prints the reports.
 pub fn run(settings: &MeasureSettings) -> Result<(), ChoreError> {
     if cfg!(debug_assertions) {
-        return run_release(settings);
+        return run_release(&arguments(settings));
     }
     let scenario = scenario::find(&settings.scenario)?;
     println!("scenario={} seed={} {}", scenario.name, settings.seed, scenario.about);
@@ -59,24 +59,29 @@
     Ok(())
 }
 
-/// Repeats the command with optimized programs; figures of a debug build mean nothing.
-fn run_release(settings: &MeasureSettings) -> Result<(), ChoreError> {
-    let mut command = Command::new("cargo");
-    command.current_dir(workspace_root());
-    command.args(["run", "--quiet", "--release", "--locked", "--package", "xtask", "--"]);
-    command.args(["measure", "--scenario", &settings.scenario]);
-    command.args(["--seed", &settings.seed.to_string()]);
-    if let Some(against) = &settings.against {
-        command.arg("--against").arg(against);
-    }
-    if let Some(json) = &settings.json {
-        command.arg("--json").arg(json);
+/// Returns the command line that gives these settings.
+fn arguments(settings: &MeasureSettings) -> Vec<String> {
+    let mut arguments: Vec<String> = ["measure", "--scenario"].map(str::to_owned).into();
+    arguments.push(settings.scenario.clone());
+    arguments.extend(["--seed".to_owned(), settings.seed.to_string()]);
+    for (flag, path) in [("--against", &settings.against), ("--json", &settings.json)] {
+        if let Some(path) = path {
+            arguments.extend([flag.to_owned(), path.display().to_string()]);
+        }
     }
     for arm in &settings.arms {
-        command.args(["--arm", arm]);
+        arguments.extend(["--arm".to_owned(), arm.clone()]);
     }
-    match command.status()?.success() {
+    arguments
+}
+
+/// Repeats a chore with optimized programs; figures of a debug build mean nothing.
+pub fn run_release(arguments: &[impl AsRef<std::ffi::OsStr>]) -> Result<(), ChoreError> {
+    let mut command = Command::new("cargo");
+    command.current_dir(workspace_root());
+    command.args(["run", "--quiet", "--release", "--locked", "--package", "xtask", "--"]);
+    match command.args(arguments).status()?.success() {
         true => Ok(()),
-        false => Err(ChoreError::Check(format!("scenario {}", settings.scenario))),
+        false => Err(ChoreError::Check("the optimized run failed".to_owned())),
     }
 }
