Prove random kills and cut leaders; let an endpoint's word that it leaves expire

Twenty kills of all replicas at random moments while changes come in, and a leader cut off in both directions, not heard, and hearing nothing: nothing accepted is lost. The burn page showed no point where a route had a single bucket, seen in a browser; points are drawn now. heatherweirctl says when there is nothing to apply and names outcomes in words.

--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -185,8 +185,12 @@
         ChangeOutcome::Conflict => {
             Err(CtlError::Conflict(name, reply.version, reply.winner_change_id))
         }
-        outcome => {
-            Err(CtlError::Refused(format!("{name}: {}: {}", outcome.as_str_name(), reply.detail)))
-        }
+        outcome => Err(CtlError::Refused(format!("{name}: {}: {}", words(outcome), reply.detail))),
     }
 }
+
+/// Returns an outcome as words.
+fn words(outcome: ChangeOutcome) -> String {
+    let name = outcome.as_str_name().trim_start_matches("CHANGE_OUTCOME_");
+    name.to_lowercase().replace('_', " ")
+}
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -67,6 +67,9 @@
         render::plan(output, &planned);
         return Ok(());
     }
+    if planned.is_empty() {
+        render::plan(output, &planned);
+    }
     let mut worst: Option<CtlError> = None;
     for change in planned {
         let name = change.file.profile.name.as_str();
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -228,10 +228,11 @@
         tried: &[VmName],
         failed: FailedAttempt,
     ) -> bool {
+        let now_us = self.clock.now_us();
         let limits = AttemptLimits {
             is_idempotent: call.route.is_idempotent,
-            remaining_us: call.head.deadline_us.saturating_sub(self.clock.now_us()),
-            untried_endpoints: routes.router().untried(tried),
+            remaining_us: call.head.deadline_us.saturating_sub(now_us),
+            untried_endpoints: routes.router().untried(now_us, tried),
         };
         if !retry::is_worthwhile(failed, limits) || call.parent.ledger().available() == 0 {
             return false;
@@ -296,7 +297,7 @@
         if let Some(load) = load {
             router.report(now_us, self.vm, reported(load));
             if load.is_leaving {
-                router.mark_leaving(self.vm);
+                router.mark_leaving(now_us, self.vm);
             }
         }
     }
--- a/crates/policy/src/routing.rs
+++ b/crates/policy/src/routing.rs
@@ -27,6 +27,8 @@
 const DEFAULT_LIMIT: u32 = 16;
 /// Pause after a refusal before the endpoint is preferred again, in microseconds.
 const REFUSAL_BACKOFF_US: u64 = 20 * US_PER_MS;
+/// Time for which an endpoint's own word that it is leaving counts, in microseconds.
+const LEAVING_TTL_US: u64 = 5 * US_PER_S;
 
 /// Load as an endpoint reported it with an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -58,7 +60,10 @@
 #[derive(Debug)]
 struct Candidate {
     data_centre: DataCentreName,
+    /// Whether control says that it is leaving.
     is_leaving: bool,
+    /// Until when its own word that it is leaving counts, in microseconds.
+    said_leaving_until_us: u64,
     own_in_flight: u32,
     report: Option<(u64, ReportedLoad)>,
     mean_latency_us: f64,
@@ -76,6 +81,7 @@
         Self {
             data_centre,
             is_leaving: false,
+            said_leaving_until_us: 0,
             own_in_flight: 0,
             report: None,
             mean_latency_us: 0.0,
@@ -100,6 +106,10 @@
         backoff + own.max(others) / limit
     }
 
+    fn takes_work(&self, now_us: u64) -> bool {
+        !self.is_leaving && now_us >= self.said_leaving_until_us
+    }
+
     fn is_ejected(&self, now_us: u64) -> bool {
         self.ejections > 0 && (now_us < self.ejected_until_us || self.is_probing)
     }
@@ -136,20 +146,11 @@
         self.candidates.shift_remove(vm);
     }
 
-    /// Returns the endpoints that are not leaving.
-    pub fn len(&self) -> usize {
-        self.candidates.values().filter(|candidate| !candidate.is_leaving).count()
-    }
-
-    /// Returns whether there is no endpoint to choose.
-    pub fn is_empty(&self) -> bool {
-        self.len() == 0
-    }
-
     /// Returns the endpoints that a call has not tried.
-    pub fn untried(&self, tried: &[VmName]) -> usize {
-        let is_untried =
-            |(vm, candidate): &(&VmName, &Candidate)| !candidate.is_leaving && !tried.contains(vm);
+    pub fn untried(&self, now_us: u64, tried: &[VmName]) -> usize {
+        let is_untried = |(vm, candidate): &(&VmName, &Candidate)| {
+            candidate.takes_work(now_us) && !tried.contains(vm)
+        };
         self.candidates.iter().filter(is_untried).count()
     }
 
@@ -221,17 +222,19 @@
     /// failed, and abandoning it would throw its work away.
     pub fn has_faster(&self, tried: &[VmName], route: &RouteName, started_us: u64) -> bool {
         let is_faster = |(vm, candidate): (&VmName, &Candidate)| {
-            !candidate.is_leaving
-                && !tried.contains(vm)
+            !tried.contains(vm)
                 && candidate.answered_start_us.get(route).is_some_and(|at_us| *at_us > started_us)
         };
         self.candidates.iter().any(is_faster)
     }
 
     /// Marks an endpoint as leaving, as it said itself with an answer.
-    pub fn mark_leaving(&mut self, vm: &VmName) {
+    ///
+    /// Its word counts for a while only, so that an endpoint which came back is not left out where
+    /// control cannot tell.
+    pub fn mark_leaving(&mut self, now_us: u64, vm: &VmName) {
         if let Some(candidate) = self.candidates.get_mut(vm) {
-            candidate.is_leaving = true;
+            candidate.said_leaving_until_us = now_us + LEAVING_TTL_US;
         }
     }
 
@@ -240,7 +243,7 @@
         if !tried.is_empty() {
             return None;
         }
-        let wants = |c: &Candidate| !c.is_leaving && c.wants_probe(now_us);
+        let wants = |c: &Candidate| c.takes_work(now_us) && c.wants_probe(now_us);
         self.candidates.values().position(wants)
     }
 
@@ -249,7 +252,7 @@
         let mut remote = Vec::new();
         let mut ejected = Vec::new();
         for (index, (vm, candidate)) in self.candidates.iter().enumerate() {
-            if candidate.is_leaving || tried.contains(vm) {
+            if !candidate.takes_work(now_us) || tried.contains(vm) {
                 continue;
             }
             if candidate.is_ejected(now_us) {
--- a/crates/policy/tests/routing.rs
+++ b/crates/policy/tests/routing.rs
@@ -63,12 +63,20 @@
 #[test]
 fn leaving_endpoint_gets_no_call() {
     let mut router = router(&["a1", "b1"]);
-    router.mark_leaving(&vm("a1"));
+    router.mark_leaving(S, &vm("a1"));
     assert_eq!(router.choose(S, &[], 7), Some(vm("b1")));
-    router.mark_leaving(&vm("b1"));
+    router.mark_leaving(S, &vm("b1"));
     assert_eq!(router.choose(S, &[], 7), None);
 }
 
+#[test]
+fn endpoint_that_came_back_is_not_left_out_for_good() {
+    let mut router = router(&["a1"]);
+    router.mark_leaving(S, &vm("a1"));
+    assert_eq!(router.choose(4 * S, &[], 7), None);
+    assert_eq!(router.choose(7 * S, &[], 7), Some(vm("a1")));
+}
+
 #[test]
 fn failing_endpoint_is_ejected_and_probed() {
     let mut router = router(&["a1", "a2", "a3"]);
--- a/crates/report/src/html.rs
+++ b/crates/report/src/html.rs
@@ -9,6 +9,8 @@
 use crate::text::show;
 
 const PLOT_SIZE: (u32, u32) = (720, 200);
+/// Radius of a point; a single one shows no line.
+const POINT_SIZE: u32 = 3;
 const STYLE: &str = "body{font-family:sans-serif;margin:2em;max-width:60em}\
     table{border-collapse:collapse;margin:1em 0}td,th{border:1px solid #bbb;padding:.3em .6em;\
     text-align:right}td:first-child,th:first-child{text-align:left}.bad{color:#b00020}\
@@ -29,11 +31,9 @@
     for missing in &summary.missing_nodes {
         let _ = writeln!(page, "<p class=\"note\">Missing: {}</p>", escape(missing));
     }
-    for window in &summary.uncovered_windows {
-        let _ = writeln!(
-            page,
-            "<p class=\"note\">The window of {window} is not covered by every node.</p>"
-        );
+    if !summary.uncovered_windows.is_empty() {
+        let windows = summary.uncovered_windows.join(", ");
+        let _ = writeln!(page, "<p class=\"note\">Not covered by every node: {windows}.</p>");
     }
     page.push_str(&table(summary));
     for route in &summary.routes {
@@ -105,9 +105,10 @@
             let points = route.series.buckets();
             points.map(move |b| (hours(b.start_unix_s), value(b) as f64)).collect::<Vec<_>>()
         };
-        let all = LineSeries::new(line(|bucket| bucket.total), &RED);
+        let all = LineSeries::new(line(|bucket| bucket.total), RED.filled()).point_size(POINT_SIZE);
         chart.draw_series(all).map_err(|e| plot_error(e.to_string()))?;
-        let good = LineSeries::new(line(|bucket| bucket.good), &BLUE);
+        let good =
+            LineSeries::new(line(|bucket| bucket.good), BLUE.filled()).point_size(POINT_SIZE);
         chart.draw_series(good).map_err(|e| plot_error(e.to_string()))?;
         root.present().map_err(|e| plot_error(e.to_string()))?;
     }
--- a/crates/report/tests/report.rs
+++ b/crates/report/tests/report.rs
@@ -39,6 +39,7 @@
 fn page_is_self_contained_and_escaped() {
     let page = to_html(&summarize(NOW_S, &[node(10, 9, 300_000)], Vec::new())).expect("a page");
     assert!(page.contains("<svg") && page.contains("p&lt;1&gt;"));
+    assert!(page.contains("<circle"), "a single bucket is visible");
     assert!(!page.contains("p<1>") && !page.contains("src="));
 }
 
--- a/crates/testbed/tests/links.rs
+++ b/crates/testbed/tests/links.rs
@@ -8,6 +8,7 @@
 use testbed::cluster::{Cluster, OPERATOR_TOKEN, node_status};
 use testbed::deployment::Deployment;
 use testbed::process::wait_until;
+use testbed::relay::Links;
 
 const LIMIT: Duration = Duration::from_secs(20);
 /// Time in which things are normal again after a fault.
@@ -65,6 +66,61 @@
     .expect("the change takes hold when the data centre returns");
 }
 
+/// Cuts the leader's ways in one or both directions while changes go on elsewhere.
+fn check_cut_leader(cut: impl Fn(&Links, &str, &str)) {
+    let cluster = relayed();
+    let links = cluster.links().expect("there are relays");
+    let mut leader = None;
+    wait_until("there is a leader", LIMIT, || {
+        leader = cluster.leader();
+        leader.is_some()
+    })
+    .expect("a quorum");
+    let leader = &cluster.controls[leader.expect("the condition held")];
+    let others: Vec<_> =
+        cluster.controls.iter().filter(|c| c.data_centre != leader.data_centre).collect();
+    for other in &others {
+        cut(links, &leader.data_centre, &other.data_centre);
+    }
+    let addresses: Vec<_> = others.iter().map(|other| other.address).collect();
+    let operator = OperatorClient::new(addresses, OPERATOR_TOKEN).expect("a client");
+    for version in 1..4 {
+        let text = front_text(&cluster, version);
+        let mut result = Ok(0);
+        wait_until("the others have a quorum", LIMIT, || {
+            result = operator.apply("front", version, &text);
+            !matches!(result, Err(CtlError::Unreachable(_)))
+        })
+        .expect("the others elect a leader");
+        assert!(matches!(result, Ok(_) | Err(CtlError::Pending(..))), "{result:?}");
+    }
+    links.heal();
+    let healed = OperatorClient::new([leader.address], OPERATOR_TOKEN).expect("a client");
+    wait_until("the old leader follows", LIMIT, || {
+        let record = healed.get("front").ok().flatten();
+        record.is_some_and(|record| record.version == 4)
+    })
+    .expect("nothing accepted is missing after the heal");
+}
+
+#[test]
+fn leader_that_is_cut_off_loses_nothing() {
+    check_cut_leader(|links, leader, other| {
+        links.cut(leader, other);
+        links.cut(other, leader);
+    });
+}
+
+#[test]
+fn leader_that_is_not_heard_loses_nothing() {
+    check_cut_leader(|links, leader, other| links.cut(leader, other));
+}
+
+#[test]
+fn leader_that_hears_nothing_loses_nothing() {
+    check_cut_leader(|links, leader, other| links.cut(other, leader));
+}
+
 #[test]
 fn node_that_starts_in_a_cut_off_data_centre_has_the_accepted_profiles() {
     let mut cluster = relayed();
--- a/crates/testbed/tests/state.rs
+++ b/crates/testbed/tests/state.rs
@@ -2,10 +2,14 @@
 
 use std::fs;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use ctl::{CtlError, OperatorClient, change_id};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use rpc::ChangeRequest;
 use testbed::cluster::{Cluster, OPERATOR_TOKEN};
 use testbed::deployment::Deployment;
@@ -126,10 +130,10 @@
     };
     refused(operator.apply("bad", 0, "name = 5"), "line 1");
     refused(operator.apply("bad", 0, &text("other", 1)), "the text defines other");
-    refused(operator.retire("bad", 0), "UNKNOWN_PROFILE");
+    refused(operator.retire("bad", 0), "unknown profile");
     let addresses: Vec<SocketAddr> = cluster.controls.iter().map(|c| c.address).collect();
     let stranger = OperatorClient::new(addresses, "wrong token").expect("a client");
-    refused(stranger.apply("bad", 0, &text("bad", 1)), "UNAUTHORIZED");
+    refused(stranger.apply("bad", 0, &text("bad", 1)), "unauthorized");
     assert_eq!(operator.list().expect("the list is answered").profiles, Vec::new());
 }
 
@@ -225,6 +229,65 @@
     }
 }
 
+/// Kills every replica at a random moment while changes come in, over and over.
+#[test]
+fn kills_at_random_moments_lose_nothing() {
+    const SEEDS: u64 = 20;
+    let mut cluster = controls();
+    let addresses: Vec<SocketAddr> = cluster.controls.iter().map(|c| c.address).collect();
+    let operator_of_all = cluster.operator().expect("a client");
+    let mut version = 0;
+    for seed in 0..SEEDS {
+        let accepted = Arc::new(AtomicU64::new(version));
+        let stop = Arc::new(AtomicBool::new(false));
+        let changes = {
+            let (accepted, stop) = (Arc::clone(&accepted), Arc::clone(&stop));
+            let operator = OperatorClient::new(addresses.clone(), OPERATOR_TOKEN);
+            let operator = operator.expect("a client");
+            thread::spawn(move || apply_until(&operator, version, &accepted, &stop))
+        };
+        let pause = StdRng::seed_from_u64(seed).random_range(20..400);
+        thread::sleep(Duration::from_millis(pause));
+        for control in &mut cluster.controls {
+            control.process.kill();
+        }
+        stop.store(true, Ordering::Relaxed);
+        changes.join().expect("no panic");
+        for index in 0..cluster.controls.len() {
+            cluster.restart_control(index).expect("the replica starts again");
+        }
+        let accepted = accepted.load(Ordering::Relaxed);
+        let mut record = None;
+        wait_until("everything accepted is there", LIMIT, || {
+            record = operator_of_all.get("kept").ok().flatten();
+            version = record.as_ref().map_or(0, |record| record.version);
+            cluster.leader().is_some() && version >= accepted
+        })
+        .expect("nothing accepted is lost");
+        // The change whose answer was lost may have been committed.
+        assert!((accepted..=accepted + 1).contains(&version), "seed {seed}: {version}, {accepted}");
+        if let Some(record) = record {
+            assert_eq!(record.text, text("kept", version), "seed {seed}");
+        }
+    }
+    assert!(version > SEEDS, "changes were accepted between the kills");
+}
+
+/// Applies one version after another and notes the last accepted one.
+fn apply_until(operator: &OperatorClient, from: u64, accepted: &AtomicU64, stop: &AtomicBool) {
+    for version in from.. {
+        match operator.apply("kept", version, &text("kept", version + 1)) {
+            Ok(applied) | Err(CtlError::Pending(_, applied, _)) => {
+                accepted.store(applied, Ordering::Relaxed);
+            }
+            Err(_) => return,
+        }
+        if stop.load(Ordering::Relaxed) {
+            return;
+        }
+    }
+}
+
 #[test]
 fn damaged_file_stops_the_replica_with_its_name_and_offset() {
     let mut cluster = controls();
