--- a/crates/node/src/body.rs
+++ b/crates/node/src/body.rs
@@ -2,6 +2,7 @@
 
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use http_body::{Body, Frame, SizeHint};
@@ -17,6 +18,11 @@
 /// Bodies up to this size are held whole, so that they can be sent again.
 pub(crate) const MAX_HELD_BYTES: usize = 64 * 1024;
 
+/// Most bytes of a refused body that are read before the answer.
+const MAX_DISCARDED_BYTES: usize = 16 * 1024 * 1024;
+/// Longest time for which a refused body is read.
+const DISCARD_LIMIT: Duration = Duration::from_secs(2);
+
 quick_error! {
     /// A body that did not arrive whole.
     #[derive(Debug)]
@@ -57,6 +63,7 @@
     /// Reads a caller's body until it ends or is too large to hold.
     pub(crate) async fn read(mut body: Incoming, max_bytes: u64) -> Result<Self, BodyError> {
         if body.size_hint().lower() > max_bytes {
+            discard(body).await;
             return Err(BodyError::TooLarge);
         }
         let mut held = BytesMut::new();
@@ -68,6 +75,7 @@
                 held.extend_from_slice(&chunk);
             }
             if held.len() as u64 > max_bytes {
+                discard(body).await;
                 return Err(BodyError::TooLarge);
             }
         }
@@ -92,6 +100,20 @@
     }
 }
 
+/// Reads on for a while, since a caller that is still sending does not see its answer.
+async fn discard(mut body: Incoming) {
+    let read = async {
+        let mut left_bytes = MAX_DISCARDED_BYTES;
+        while let Some(Ok(frame)) = body.frame().await {
+            let length = frame.data_ref().map_or(0, Bytes::len);
+            let Some(left) = left_bytes.checked_sub(length) else { return };
+            left_bytes = left;
+        }
+    };
+    // Whoever sends more or more slowly finds the connection closed.
+    let _ = tokio::time::timeout(DISCARD_LIMIT, read).await;
+}
+
 impl CallStream {
     pub(crate) fn poll_chunk(
         &mut self,
