Send refused and broken calls elsewhere; never call a read not-run that may have run

Cause, found by reading: a call that a remote node refused, or that broke at the own upstream, came back without its body and so was never sent elsewhere; only time-outs and lost connections were. The earlier tests passed because control's news arrived first. With retries working, the outcome of the last attempt hid that an earlier one may have run.

--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -87,43 +87,56 @@
             return Err(CallFailure::not_run(Reason::NoEndpoint, 0, Some(body)));
         };
         routes.budget().set_percent(call.route.budget_percent);
-        let mut tried: Vec<VmName> = Vec::new();
+        let mut history = AttemptHistory::default();
         let mut body = body;
         loop {
-            let Some(endpoint) = self.choose(&routes, &tried) else {
-                return Err(CallFailure::not_run(Reason::NoEndpoint, 0, Some(body)));
+            let Some(endpoint) = self.choose(&routes, &history.tried) else {
+                let failure = CallFailure::not_run(Reason::NoEndpoint, 0, Some(body));
+                return Err(history.seal(failure));
             };
-            tried.push(endpoint.vm.clone());
+            history.tried.push(endpoint.vm.clone());
             let replay = body.replay();
-            let failure = match self.attempt(&call, &routes, &tried, &endpoint, body).await {
-                Ok(answer) if is_sick(&answer) => {
-                    let failed = FailedAttempt {
-                        outcome: Outcome::Unknown,
-                        reason: Reason::UpstreamError,
-                        is_final: answer.is_final,
-                        is_replayable: replay.is_some(),
-                    };
-                    if !self.may_retry(&call, &routes, &tried, failed) {
-                        return Ok(answer);
-                    }
-                    CallFailure { body: replay, ..CallFailure::unknown(Reason::UpstreamError) }
-                }
-                Ok(answer) => {
-                    routes.budget().record_success();
-                    return Ok(answer);
+            let result = self.attempt(&call, &routes, &history.tried, &endpoint, body).await;
+            match self.next_step(&call, &routes, &history, result, replay) {
+                NextStep::Finish(Ok(answer)) => return Ok(answer),
+                NextStep::Finish(Err(failure)) => {
+                    call.parent.give_up();
+                    return Err(history.seal(CallFailure { is_final: true, ..failure }));
                 }
-                Err(failure) => {
-                    if !self.may_retry(&call, &routes, &tried, failed_attempt(&failure)) {
-                        call.parent.give_up();
-                        return Err(CallFailure { is_final: true, ..failure });
-                    }
-                    failure
+                NextStep::Retry { body: next, outcome } => {
+                    self.stats.add(Counter::Retries);
+                    history.has_maybe_run |= outcome != Outcome::NotRun;
+                    body = next;
                 }
-            };
-            // A retry is worthwhile only with a body that can be sent again.
-            let Some(next) = failure.body else { return Err(failure) };
-            body = next;
-            self.stats.add(Counter::Retries);
+            }
+        }
+    }
+
+    fn next_step(
+        &self,
+        call: &OutboundCall,
+        routes: &ServiceRoutes,
+        history: &AttemptHistory,
+        result: Result<Answer, CallFailure>,
+        replay: Option<CallBody>,
+    ) -> NextStep {
+        let failed = match &result {
+            Ok(answer) if is_sick(answer) => sick_attempt(answer, &replay),
+            Ok(_) => {
+                routes.budget().record_success();
+                return NextStep::Finish(result);
+            }
+            Err(failure) => failed_attempt(failure, &replay),
+        };
+        if !self.may_retry(call, routes, &history.tried, failed) {
+            return NextStep::Finish(result);
+        }
+        let outcome = failed.outcome;
+        match (replay, result) {
+            (Some(body), _) | (None, Err(CallFailure { body: Some(body), .. })) => {
+                NextStep::Retry { body, outcome }
+            }
+            (None, result) => NextStep::Finish(result),
         }
     }
 
@@ -151,14 +164,13 @@
             route: &call.route.name,
             is_done: false,
         };
-        let replay = body.replay();
         let send = self.send(endpoint, head, body);
         let sent = self.limit_attempt(call, routes, tried, started_us, send).await;
         let result = sent.unwrap_or_else(|| {
             if endpoint.vm != self.vm.name {
                 self.peers.reset(endpoint.address);
             }
-            Err(CallFailure { body: replay, ..CallFailure::unknown(self.timeout_reason(call)) })
+            Err(CallFailure::unknown(self.timeout_reason(call)))
         });
         let latency_us = self.clock.now_us().saturating_sub(started_us);
         tracker.finish(&result, latency_us);
@@ -245,17 +257,49 @@
     }
 }
 
+/// Attempts of one call so far.
+#[derive(Debug, Default)]
+struct AttemptHistory {
+    tried: Vec<VmName>,
+    has_maybe_run: bool,
+}
+
+impl AttemptHistory {
+    /// Keeps a last refusal from hiding that an earlier attempt may have run.
+    fn seal(&self, failure: CallFailure) -> CallFailure {
+        match self.has_maybe_run {
+            true => CallFailure { outcome: Outcome::Unknown, ..failure },
+            false => failure,
+        }
+    }
+}
+
+/// What follows an attempt.
+enum NextStep {
+    Finish(Result<Answer, CallFailure>),
+    Retry { body: CallBody, outcome: Outcome },
+}
+
 /// Returns whether an upstream answered with an error of its own, not of a service below it.
 fn is_sick(answer: &Answer) -> bool {
     answer.status.is_server_error() && !answer.is_final
 }
 
-fn failed_attempt(failure: &CallFailure) -> FailedAttempt {
+fn sick_attempt(answer: &Answer, replay: &Option<CallBody>) -> FailedAttempt {
+    FailedAttempt {
+        outcome: Outcome::Unknown,
+        reason: Reason::UpstreamError,
+        is_final: answer.is_final,
+        is_replayable: replay.is_some(),
+    }
+}
+
+fn failed_attempt(failure: &CallFailure, replay: &Option<CallBody>) -> FailedAttempt {
     FailedAttempt {
         outcome: failure.outcome,
         reason: failure.reason,
         is_final: failure.is_final,
-        is_replayable: failure.body.is_some(),
+        is_replayable: replay.is_some() || failure.body.is_some(),
     }
 }
 
--- a/crates/testbed/tests/path.rs
+++ b/crates/testbed/tests/path.rs
@@ -223,3 +223,22 @@
         assert_eq!(reply.status, 200, "{number}: {reply:?}");
     }
 }
+
+#[test]
+fn read_that_may_have_run_is_not_called_not_run() {
+    let cluster = cluster();
+    // The attempt in the own data centre runs and breaks off; every other one is refused.
+    let admins: Vec<SocketAddr> = cluster.instances_of("back").map(|i| i.upstream_admin).collect();
+    for (index, admin) in admins.iter().enumerate() {
+        testbed::upstream_client::change(*admin, |behaviour| {
+            behaviour.is_truncating = index == 0;
+            behaviour.is_shedding = index > 0;
+        })
+        .expect("the upstream answers");
+    }
+    let entry = cluster.instances_of("back").next().expect("a back").caller;
+    let request = Request::get(format!("http://{entry}/pages/1")).header("x-tag", "ran");
+    let reply = Caller::new().send(request, ()).expect("the failure is answered");
+    assert_eq!(cluster.runs_of("ran", "back").expect("the upstreams answer"), 1);
+    assert_eq!(reply.outcome, "unknown", "{reply:?}");
+}
