--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -4,7 +4,8 @@
 
 use control::{Settings, command};
 use daemon::EXIT_BAD_SETTINGS;
-use slog::error;
+
+const TRAFFIC_THREADS: usize = 2;
 
 fn main() -> ExitCode {
     let matches = command().get_matches();
@@ -19,20 +20,5 @@
         return ExitCode::SUCCESS;
     }
     let log = daemon::logger("heatherweir-control");
-    let runtime =
-        tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
-    let runtime = match runtime {
-        Ok(runtime) => runtime,
-        Err(error) => {
-            error!(log, "runtime-failed"; "error" => %error);
-            return ExitCode::FAILURE;
-        }
-    };
-    match runtime.block_on(control::run(log.clone(), settings)) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            error!(log, "control-failed"; "error" => %error);
-            ExitCode::FAILURE
-        }
-    }
+    daemon::run_program(&log, TRAFFIC_THREADS, control::run(log.clone(), settings))
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,6 +3,7 @@
 mod admin;
 mod clock;
 mod logs;
+mod program;
 mod settings;
 mod signals;
 
@@ -10,6 +11,7 @@
     admin::{AdminError, AdminReply, AdminServer},
     clock::Clock,
     logs::logger,
+    program::run_program,
     settings::{
         EXIT_BAD_SETTINGS, check_only_flag, is_check_only, list_flag, optional, required,
         setting_flag, values,
--- a/crates/model/src/headers.rs
+++ b/crates/model/src/headers.rs
@@ -14,8 +14,6 @@
 pub const REQUEST_ID: &str = "heatherweir-request-id";
 /// Remaining time of the request in milliseconds, told to upstreams.
 pub const DEADLINE_MS: &str = "heatherweir-deadline-ms";
-/// VMs that served the call, in order.
-pub const PATH: &str = "heatherweir-path";
 /// Key under which a caller repeats a request.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
 
--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use http::{HeaderMap, Method};
-use model::{CallContext, Class, RequestId, ServiceName, VmName};
+use model::{CallContext, Class, RequestId, ServiceName};
 use policy::allowance::Ledger;
 
 const SHARDS: usize = 16;
@@ -24,7 +24,6 @@
     pub(crate) admitted_unix_us: u64,
     pub(crate) retry_allowance: u32,
     pub(crate) idempotency_key: Option<String>,
-    pub(crate) entry_vm: VmName,
 }
 
 /// A call that the upstream beside the node is serving.
--- a/crates/node/src/caller_listener.rs
+++ b/crates/node/src/caller_listener.rs
@@ -53,7 +53,6 @@
             admitted_unix_us: Clock::unix_us(),
             retry_allowance: 0,
             idempotency_key,
-            entry_vm: self.dispatcher.vm.name.clone(),
         };
         let matched = self.dispatcher.route(&head).map_err(refuse)?;
         let (route, policy) = (&matched.route, &matched.policy);
--- a/crates/node/src/egress_listener.rs
+++ b/crates/node/src/egress_listener.rs
@@ -99,7 +99,6 @@
             admitted_unix_us: parent.admitted_unix_us(),
             retry_allowance: 0,
             idempotency_key: own_key.or(parent_key),
-            entry_vm: self.dispatcher.vm.name.clone(),
         };
         let RouteMatch { route, policy, .. } = self.dispatcher.route(&head).map_err(refuse)?;
         let now_us = self.dispatcher.clock.now_us();
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -4,7 +4,6 @@
 
 use daemon::EXIT_BAD_SETTINGS;
 use node::{Settings, command};
-use slog::error;
 
 fn main() -> ExitCode {
     let matches = command().get_matches();
@@ -19,22 +18,5 @@
         return ExitCode::SUCCESS;
     }
     let log = daemon::logger("heatherweir-node");
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(settings.traffic_threads)
-        .enable_all()
-        .build();
-    let runtime = match runtime {
-        Ok(runtime) => runtime,
-        Err(error) => {
-            error!(log, "runtime-failed"; "error" => %error);
-            return ExitCode::FAILURE;
-        }
-    };
-    match runtime.block_on(node::run(log.clone(), settings)) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            error!(log, "node-failed"; "error" => %error);
-            ExitCode::FAILURE
-        }
-    }
+    daemon::run_program(&log, settings.traffic_threads, node::run(log.clone(), settings))
 }
--- a/crates/node/src/peer_client.rs
+++ b/crates/node/src/peer_client.rs
@@ -181,7 +181,6 @@
         retry_allowance: head.retry_allowance,
         idempotency_key: head.idempotency_key.clone().unwrap_or_default(),
         is_streaming,
-        entry_node: head.entry_vm.to_string(),
     }
 }
 
--- a/crates/node/src/peer_service.rs
+++ b/crates/node/src/peer_service.rs
@@ -4,7 +4,7 @@
 
 use daemon::Clock;
 use http::Method;
-use model::{Class, Outcome, ServiceName, VmName};
+use model::{Class, Outcome, ServiceName};
 use policy::US_PER_MS;
 use rpc::peer_server::Peer;
 use rpc::{
@@ -55,7 +55,6 @@
             admitted_unix_us: wire.admitted_unix_us,
             retry_allowance: wire.retry_allowance,
             idempotency_key,
-            entry_vm: VmName::new(&wire.entry_node).map_err(|_| malformed())?,
         })
     }
 }
--- a/crates/rpc/src/generated.rs
+++ b/crates/rpc/src/generated.rs
@@ -61,8 +61,6 @@
     pub idempotency_key: ::prost::alloc::string::String,
     #[prost(bool, tag = "12")]
     pub is_streaming: bool,
-    #[prost(string, tag = "13")]
-    pub entry_node: ::prost::alloc::string::String,
 }
 /// Closes a body; the count guards against truncation.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -3,9 +3,10 @@
 use std::process::ExitCode;
 
 use clap::Command;
-use slog::error;
 use testbed::upstream;
 
+const THREADS: usize = 1;
+
 fn main() -> ExitCode {
     let matches = Command::new("heatherweir-testbed")
         .subcommand_required(true)
@@ -16,20 +17,5 @@
     };
     let settings = upstream::Settings::new(matches);
     let log = daemon::logger("heatherweir-testbed");
-    let runtime =
-        tokio::runtime::Builder::new_multi_thread().worker_threads(1).enable_all().build();
-    let runtime = match runtime {
-        Ok(runtime) => runtime,
-        Err(error) => {
-            error!(log, "runtime-failed"; "error" => %error);
-            return ExitCode::FAILURE;
-        }
-    };
-    match runtime.block_on(upstream::run(log.clone(), settings)) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            error!(log, "upstream-failed"; "error" => %error);
-            ExitCode::FAILURE
-        }
-    }
+    daemon::run_program(&log, THREADS, upstream::run(log.clone(), settings))
 }
