--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod caller;
 pub mod cluster;
 pub mod deployment;
+pub mod fault_proxy;
 pub mod load;
 pub mod process;
 pub mod relay;
--- a/crates/testbed/src/upstream/behaviour.rs
+++ b/crates/testbed/src/upstream/behaviour.rs
@@ -1,5 +1,7 @@
 //! What a fake upstream does, changeable over its admin listener.
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 
 /// Behaviour of a fake upstream.
@@ -12,6 +14,8 @@
     pub slots: usize,
     /// Slots that it announces; the true ones when absent.
     pub announced_slots: Option<u32>,
+    /// Address that it announces, as that of a proxy; its own when absent.
+    pub announced_address: Option<SocketAddr>,
     /// Refuses every call and says that it did not run.
     pub is_shedding: bool,
     /// Never answers.
@@ -36,6 +40,7 @@
             service_time_us: 1_000,
             slots: 16,
             announced_slots: None,
+            announced_address: None,
             is_shedding: false,
             is_hanging: false,
             is_leaving: false,
--- a/crates/testbed/src/upstream/server.rs
+++ b/crates/testbed/src/upstream/server.rs
@@ -168,7 +168,7 @@
     let announcement = Announcement {
         service: fake.settings.service.clone(),
         profile: fake.settings.profile.clone(),
-        address: fake.settings.listen,
+        address: behaviour.announced_address.unwrap_or(fake.settings.listen),
         slots: behaviour.announced_slots.unwrap_or(behaviour.slots as u32),
         connections: fake.settings.connections,
         incarnation: fake.incarnation,
--- a/crates/testbed/tests/claims.rs
+++ b/crates/testbed/tests/claims.rs
@@ -8,7 +8,8 @@
 use testbed::caller::{Caller, CallerError, Reply};
 use testbed::cluster::{Cluster, Instance};
 use testbed::deployment::Deployment;
-use testbed::process::wait_until;
+use testbed::fault_proxy::FaultProxy;
+use testbed::process::{free_address, wait_until};
 use testbed::upstream_client;
 use ureq::http::Request;
 
@@ -249,3 +250,31 @@
     assert_eq!((resent.status, code), (409, Some("answer-not-kept")), "{resent:?}");
     assert_eq!(runs(&cluster, "large"), 1);
 }
+
+/// The answer is cut off between the upstream and its node, by a proxy.
+#[test]
+fn purchase_whose_answer_is_lost_does_not_run_again() {
+    let cluster = cluster(1_000);
+    let mut proxies = Vec::new();
+    for instance in cluster.instances_of("back") {
+        let listen = free_address().expect("a port is free");
+        let proxy = FaultProxy::cutting_answers(listen, instance.upstream_listen, 20);
+        proxies.push(proxy.expect("the proxy starts"));
+        upstream_client::change(instance.upstream_admin, |b| b.announced_address = Some(listen))
+            .expect("the upstream answers");
+    }
+    let entries = charging_entries(&cluster);
+    let caller = Caller::new();
+    let status = || caller.get(entries[0], "/pages/1").map_or(0, |reply| reply.status);
+    wait_until("answers are cut", LIMIT, || status() != 200).expect("the proxies are in use");
+    let first = caller.charge(entries[0], PATH, "cut").expect("the failure is answered");
+    assert_eq!(first.outcome, "unknown", "{first:?}");
+    assert_eq!(runs(&cluster, "cut"), 1);
+    cluster
+        .change_behaviour("back", |behaviour| behaviour.announced_address = None)
+        .expect("the upstreams answer");
+    wait_until("answers are whole", LIMIT, || status() == 200).expect("the proxies are left out");
+    let resent = caller.charge(entries[1], PATH, "cut").expect("the resend is answered");
+    assert_eq!(resent.outcome, "unknown", "{resent:?}");
+    assert_eq!(runs(&cluster, "cut"), 1);
+}
