--- a/crates/testbed/src/process.rs
+++ b/crates/testbed/src/process.rs
@@ -1,6 +1,5 @@
 //! Child processes of a test or measurement, ended when dropped.
 
-use std::collections::BTreeSet;
 use std::fs::{self, File};
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
@@ -17,6 +16,7 @@
 
 const POLL: Duration = Duration::from_millis(10);
 const PORTS: Range<u16> = 10_000..32_000;
+const PORTS_PER_BLOCK: u16 = 200;
 const PORT_ATTEMPTS: usize = 1_000;
 
 quick_error! {
@@ -167,24 +167,43 @@
     }
 }
 
+/// Ports of this process. Holding the first one keeps other test processes from the rest.
+struct PortBlock {
+    _guard: TcpListener,
+    rest: Range<u16>,
+}
+
+impl PortBlock {
+    fn claim() -> Option<Self> {
+        let blocks = PORTS.len() as u16 / PORTS_PER_BLOCK;
+        let start = PORTS.start + rand::rng().random_range(0..blocks) * PORTS_PER_BLOCK;
+        let guard = TcpListener::bind((Ipv4Addr::LOCALHOST, start)).ok()?;
+        Some(Self { _guard: guard, rest: start + 1..start + PORTS_PER_BLOCK })
+    }
+
+    fn next_free(&mut self) -> Option<SocketAddr> {
+        let mut addresses = self.rest.by_ref().map(|port| (Ipv4Addr::LOCALHOST, port).into());
+        addresses.find(|address: &SocketAddr| TcpListener::bind(address).is_ok())
+    }
+}
+
 /// Returns a loopback address that is free and stays so.
 ///
-/// The port lies below the range from which the system serves outgoing connections, so none of those
-/// takes it before the program that it is meant for.
+/// The port lies below the range from which the system serves outgoing connections, in a block that
+/// belongs to this process, so neither those nor other tests take it before the program that it is
+/// meant for.
 ///
 /// # Errors
 ///
 /// Returns an error if no port can be had.
 pub fn free_address() -> Result<SocketAddr, ProcessError> {
-    static GIVEN: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
-    let mut given = GIVEN.lock().unwrap_or_else(PoisonError::into_inner);
+    static BLOCKS: Mutex<Vec<PortBlock>> = Mutex::new(Vec::new());
+    let mut blocks = BLOCKS.lock().unwrap_or_else(PoisonError::into_inner);
     for _ in 0..PORT_ATTEMPTS {
-        let port = rand::rng().random_range(PORTS);
-        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
-        if !given.contains(&port) && TcpListener::bind(address).is_ok() {
-            given.insert(port);
+        if let Some(address) = blocks.last_mut().and_then(PortBlock::next_free) {
             return Ok(address);
         }
+        blocks.extend(PortBlock::claim());
     }
     Err(ProcessError::Timeout("free port".to_owned()))
 }
