Let a node remember what was claimed through it, for when the ledger cannot tell

Cause: without a quorum a lagging replica does not know a key whose work ran, and its resend heard not-run. The node that dispatched the work remembers the last 10,000 claims and answers unknown.

--- a/crates/node/src/claim_guard.rs
+++ b/crates/node/src/claim_guard.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
+use indexmap::IndexSet;
 use model::Route;
 use rpc::StoredAnswer;
 use tokio::task::JoinSet;
@@ -19,6 +20,9 @@
 /// Largest answer body that is kept with a claim, in bytes.
 const MAX_KEPT_ANSWER_BYTES: usize = MAX_HELD_BYTES;
 
+/// Most claims that a node remembers.
+const MAX_REMEMBERED: usize = 10_000;
+
 /// What the ledger says of a call.
 pub(crate) enum Claim {
     /// The call needs no claim.
@@ -34,11 +38,32 @@
     client: ClaimClient,
     stats: Arc<Stats>,
     settlements: Mutex<JoinSet<()>>,
+    /// Work that was claimed here, oldest first, for when the ledger cannot tell.
+    claimed: Mutex<IndexSet<ClaimedWork>>,
+}
+
+/// What a claim is about, whoever holds it.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct ClaimedWork {
+    key: String,
+    service: String,
+    route: String,
+}
+
+impl From<&ClaimTarget> for ClaimedWork {
+    fn from(target: &ClaimTarget) -> Self {
+        Self {
+            key: target.key.clone(),
+            service: target.service.clone(),
+            route: target.route.clone(),
+        }
+    }
 }
 
 impl ClaimGuard {
     pub(crate) fn new(client: ClaimClient, stats: Arc<Stats>) -> Self {
-        Self { client, stats, settlements: Mutex::new(JoinSet::new()) }
+        let claimed = Mutex::new(IndexSet::new());
+        Self { client, stats, settlements: Mutex::new(JoinSet::new()), claimed }
     }
 
     /// Claims a call if its route asks for it.
@@ -63,14 +88,16 @@
         {
             Ok(Claimed::Granted) => {
                 self.stats.add(Counter::ClaimsGranted);
+                self.remember(&target);
                 Ok(Claim::Held(target))
             }
             Ok(Claimed::Finished(answer)) => Ok(Claim::Finished(answer)),
             Err(ClaimError::NoQuorum) => {
                 self.stats.add(Counter::ClaimsNoQuorum);
+                let was_claimed = self.claimed().contains(&ClaimedWork::from(&target));
                 // The claim may be committed although its answer was lost.
-                self.release(Some(target));
-                Err(ClaimError::NoQuorum)
+                self.settle(target, None);
+                Err(if was_claimed { ClaimError::Unknown } else { ClaimError::NoQuorum })
             }
             Err(error) => Err(error),
         }
@@ -79,13 +106,18 @@
     /// Releases a claim in the background.
     pub(crate) fn release(&self, claim: Option<ClaimTarget>) {
         if let Some(target) = claim {
+            self.claimed().shift_remove(&ClaimedWork::from(&target));
             self.settle(target, None);
         }
     }
 
     /// Releases a claim. Returns whether the release is committed.
     pub(crate) async fn release_now(&self, target: &ClaimTarget) -> bool {
-        self.client.settle(target, None).await
+        let is_committed = self.client.settle(target, None).await;
+        if is_committed {
+            self.claimed().shift_remove(&ClaimedWork::from(target));
+        }
+        is_committed
     }
 
     /// Keeps an answer with its claim, in the background.
@@ -120,6 +152,18 @@
         settlements.spawn(client.settle_persistently(target, answer));
     }
 
+    fn remember(&self, target: &ClaimTarget) {
+        let mut claimed = self.claimed();
+        claimed.insert(target.into());
+        if claimed.len() > MAX_REMEMBERED {
+            claimed.drain(..MAX_REMEMBERED / 10);
+        }
+    }
+
+    fn claimed(&self) -> MutexGuard<'_, IndexSet<ClaimedWork>> {
+        self.claimed.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn settlements(&self) -> MutexGuard<'_, JoinSet<()>> {
         self.settlements.lock().unwrap_or_else(PoisonError::into_inner)
     }
