--- /dev/null
+++ b/crates/control-link/src/lib.rs
@@ -0,0 +1,148 @@
+//! Keeps a node in touch with one control replica at a time: reports go up, profiles, the
+//! configuration and endpoints come down.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rpc::directory_client::DirectoryClient;
+use rpc::{ControlUpdate, NodeReport};
+use slog::{Logger, info, warn};
+use tokio::sync::{mpsc, watch};
+use tokio_stream::StreamExt;
+use tokio_stream::wrappers::ReceiverStream;
+use tonic::transport::Endpoint;
+use tonic::{Status, Streaming};
+
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+const RECONNECT_PAUSE: Duration = Duration::from_millis(200);
+/// Longest wait for a connection and the first answer.
+const ATTACH_TIMEOUT: Duration = Duration::from_secs(1);
+const PING_INTERVAL: Duration = Duration::from_secs(1);
+const PING_TIMEOUT: Duration = Duration::from_secs(1);
+const QUEUE_REPORTS: usize = 16;
+/// Silence after which a stream counts as lost; control sends at least once a second.
+const SILENCE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Age of a replica's contact with its quorum from which another one is preferred.
+const MAX_CONTACT_AGE_MS: u64 = 3_000;
+
+/// What the link needs of a node.
+pub trait AttachedNode {
+    /// Returns the replicas to try, in order of preference. At least one.
+    fn controls(&self) -> Vec<SocketAddr>;
+    /// Returns the node's next report.
+    fn report(&mut self) -> NodeReport;
+    /// Applies an update. Returns whether the node's versions changed, so that it reports at once.
+    fn take(&mut self, update: ControlUpdate) -> bool;
+}
+
+/// Link of a node to the control replicas.
+pub struct ControlLink<N> {
+    log: Logger,
+    node: N,
+    announced: watch::Receiver<u64>,
+    stop: watch::Receiver<bool>,
+}
+
+/// Why a stream ended.
+enum StreamEnd {
+    Stopping,
+    Lost,
+    Isolated,
+}
+
+impl<N: AttachedNode> ControlLink<N> {
+    /// Makes a link. A change of `announced` sends a report at once; `stop` ends the link.
+    pub fn new(
+        log: Logger,
+        node: N,
+        announced: watch::Receiver<u64>,
+        stop: watch::Receiver<bool>,
+    ) -> Self {
+        Self { log, node, announced, stop }
+    }
+
+    /// Keeps a stream to one replica, the next one when it fails or is cut off from its quorum.
+    pub async fn run(mut self) {
+        let mut index = 0;
+        let mut isolated_in_row = 0;
+        loop {
+            let controls = self.node.controls();
+            let address = controls[index % controls.len()];
+            // When every replica is cut off, the node stays with the one it has.
+            let accepts_isolation = isolated_in_row >= controls.len();
+            match self.attach(address, accepts_isolation).await {
+                StreamEnd::Stopping => return,
+                StreamEnd::Isolated => isolated_in_row += 1,
+                StreamEnd::Lost => isolated_in_row = 0,
+            }
+            index += 1;
+            tokio::time::sleep(RECONNECT_PAUSE).await;
+        }
+    }
+
+    async fn attach(&mut self, address: SocketAddr, accepts_isolation: bool) -> StreamEnd {
+        let (reports, receiver) = mpsc::channel(QUEUE_REPORTS);
+        // The queue is empty, so the first report fits.
+        let _ = reports.try_send(self.node.report());
+        let opened = tokio::time::timeout(ATTACH_TIMEOUT, open(address, receiver)).await;
+        let mut updates = match opened {
+            Ok(Ok(updates)) => updates,
+            Ok(Err(status)) => {
+                warn!(self.log, "control-refused"; "control" => %address,
+                    "error" => status.message().to_owned());
+                return StreamEnd::Lost;
+            }
+            Err(_) => {
+                warn!(self.log, "control-silent"; "control" => %address);
+                return StreamEnd::Lost;
+            }
+        };
+        info!(self.log, "control-attached"; "control" => %address);
+        let mut interval = tokio::time::interval(REPORT_INTERVAL);
+        let mut stop = self.stop.clone();
+        loop {
+            tokio::select! {
+                update = tokio::time::timeout(SILENCE_TIMEOUT, updates.next()) => {
+                    let Ok(Some(Ok(update))) = update else {
+                        warn!(self.log, "control-lost"; "control" => %address);
+                        return StreamEnd::Lost;
+                    };
+                    let is_isolated = update.contact_age_ms > MAX_CONTACT_AGE_MS;
+                    if self.node.take(update) && reports.send(self.node.report()).await.is_err() {
+                        return StreamEnd::Lost;
+                    }
+                    if is_isolated && !accepts_isolation {
+                        warn!(self.log, "control-isolated"; "control" => %address);
+                        return StreamEnd::Isolated;
+                    }
+                }
+                _ = interval.tick() => {
+                    if reports.send(self.node.report()).await.is_err() {
+                        return StreamEnd::Lost;
+                    }
+                }
+                changed = self.announced.changed() => {
+                    if changed.is_err() || reports.send(self.node.report()).await.is_err() {
+                        return StreamEnd::Lost;
+                    }
+                }
+                _ = stop.wait_for(|is_stopping| *is_stopping) => return StreamEnd::Stopping,
+            }
+        }
+    }
+}
+
+async fn open(
+    address: SocketAddr,
+    reports: mpsc::Receiver<NodeReport>,
+) -> Result<Streaming<ControlUpdate>, Status> {
+    let endpoint = Endpoint::from_shared(format!("http://{address}"))
+        .map_err(|error| Status::from_error(error.into()))?
+        .connect_timeout(ATTACH_TIMEOUT)
+        .http2_keep_alive_interval(PING_INTERVAL)
+        .keep_alive_timeout(PING_TIMEOUT)
+        .tcp_nodelay(true);
+    let channel = endpoint.connect_lazy();
+    let mut client = DirectoryClient::new(channel).max_decoding_message_size(usize::MAX);
+    Ok(client.attach(ReceiverStream::new(reports)).await?.into_inner())
+}
--- a/crates/control/src/formation.rs
+++ b/crates/control/src/formation.rs
@@ -3,6 +3,7 @@
 //! An id belongs to a disk. First members form a cluster once each has seen the ids of all. A replica
 //! whose address is taken by another id lost its disk: it joins as a learner under its new id.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use consensus::{Member, Membership, ReplicaId};
@@ -12,7 +13,7 @@
 
 use crate::peers;
 use crate::replica::{Input, ReplicaHandle};
-use crate::settings::{MemberAddress, Settings};
+use crate::settings::{Formation, Settings};
 
 const POLL_INTERVAL: Duration = Duration::from_millis(200);
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
@@ -31,7 +32,7 @@
                 is_join_logged = true;
             }
             join(&log, &settings, own, address).await;
-        } else if let Some(membership) = found.first_membership(&settings) {
+        } else if let Some(membership) = found.first_membership(own, &settings) {
             replica.input(Input::Form { membership });
         }
         tokio::time::sleep(POLL_INTERVAL).await;
@@ -39,7 +40,7 @@
 }
 
 struct Sighting {
-    member: MemberAddress,
+    address: SocketAddr,
     identity: ReplicaIdentity,
 }
 
@@ -55,18 +56,21 @@
 
     fn formed_address(&self) -> Option<String> {
         let formed = self.0.iter().find(|sighting| sighting.identity.is_formed)?;
-        Some(formed.member.address.to_string())
+        Some(formed.address.to_string())
     }
 
-    /// Returns the first membership if every first member was seen and none is formed.
-    fn first_membership(&self, settings: &Settings) -> Option<Membership> {
-        if self.0.len() < settings.members.len() {
+    /// Returns the first membership if every first member was seen, this one among them, and none is
+    /// formed.
+    fn first_membership(&self, own: ReplicaId, settings: &Settings) -> Option<Membership> {
+        let is_member = self.0.iter().any(|sighting| sighting.identity.replica_id == own.0);
+        let is_complete = self.0.len() >= settings.members.len();
+        if settings.formation == Formation::JoinOnly || !is_complete || !is_member {
             return None;
         }
         let members = self.0.iter().map(|sighting| {
             let member = Member {
-                address: sighting.member.address.to_string(),
-                data_centre: sighting.member.data_centre.to_string(),
+                address: sighting.address.to_string(),
+                data_centre: sighting.identity.data_centre.clone(),
                 is_voter: true,
             };
             (ReplicaId(sighting.identity.replica_id), member)
@@ -90,15 +94,15 @@
 async fn look_around(settings: &Settings) -> Sightings {
     let mut sightings = Vec::new();
     for member in &settings.members {
-        if let Some(identity) = identify(settings, member).await {
-            sightings.push(Sighting { member: member.clone(), identity });
+        if let Some(identity) = identify(settings, *member).await {
+            sightings.push(Sighting { address: *member, identity });
         }
     }
     Sightings(sightings)
 }
 
-async fn identify(settings: &Settings, member: &MemberAddress) -> Option<ReplicaIdentity> {
-    let channel = peers::channel(&member.address.to_string()).ok()?;
+async fn identify(settings: &Settings, member: SocketAddr) -> Option<ReplicaIdentity> {
+    let channel = peers::channel(&member.to_string()).ok()?;
     let mut client = ReplicaClient::new(channel);
     let request = IdentifyRequest { cluster_id: settings.cluster_id.clone() };
     let call = tokio::time::timeout(CALL_TIMEOUT, client.identify(request));
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -4,6 +4,8 @@
 //! the [`view::View`] that it publishes.
 
 pub mod claims;
+mod configuration_store;
+pub mod configurations;
 pub mod directory;
 mod formation;
 mod peers;
@@ -16,6 +18,7 @@
 mod view;
 
 pub use crate::{
-    server::{ServerError, run},
-    settings::{MemberAddress, Settings, SettingsError, command},
+    configuration_store::{ConfigurationStore, PutAnswer, StoreError},
+    server::{ServerError, run, run_with},
+    settings::{Formation, MemberAddress, Settings, SettingsError, command},
 };
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -89,6 +89,7 @@
     inputs: Sender<Input>,
     view: Arc<ArcSwap<View>>,
     profile_revision: watch::Receiver<u64>,
+    configuration_version: watch::Receiver<u64>,
 }
 
 impl ReplicaHandle {
@@ -101,6 +102,11 @@
         self.profile_revision.clone()
     }
 
+    /// Returns a receiver of the version of the configuration.
+    pub(crate) fn configuration_version(&self) -> watch::Receiver<u64> {
+        self.configuration_version.clone()
+    }
+
     /// Hands over an input. A stopped thread takes none; its callers see their reply dropped.
     pub(crate) fn input(&self, input: Input) {
         let _ = self.inputs.send(input);
@@ -126,6 +132,8 @@
     let raft = Raft::new(raft_settings(id), stored, clock.now_us());
     let (inputs, receiver) = mpsc::channel();
     let (revision_sender, profile_revision) = watch::channel(state.profiles().revision());
+    let (configuration_sender, configuration_version) =
+        watch::channel(state.configurations().version());
     let view = Arc::new(ArcSwap::from_pointee(view_of(&raft, &state, clock.now_us())));
     let replica = Replica {
         log,
@@ -137,10 +145,12 @@
         pending: BTreeMap::new(),
         view: Arc::clone(&view),
         revision_sender,
+        configuration_sender,
     };
     let thread = thread::Builder::new().name("control".to_owned());
     let thread = thread.spawn(move || replica.run(&receiver))?;
-    Ok((ReplicaHandle { inputs, view, profile_revision }, thread))
+    let handle = ReplicaHandle { inputs, view, profile_revision, configuration_version };
+    Ok((handle, thread))
 }
 
 fn raft_settings(id: ReplicaId) -> consensus::Settings {
@@ -168,6 +178,7 @@
     pending: BTreeMap<Index, PendingProposal>,
     view: Arc<ArcSwap<View>>,
     revision_sender: watch::Sender<u64>,
+    configuration_sender: watch::Sender<u64>,
 }
 
 impl<O: Outbox> Replica<O> {
@@ -402,15 +413,20 @@
     fn publish(&mut self) {
         let now_us = self.clock.now_us();
         self.view.store(Arc::new(view_of(&self.raft, &self.state, now_us)));
-        let revision = self.state.profiles().revision();
-        self.revision_sender.send_if_modified(|known| {
-            let is_new = *known != revision;
-            *known = revision;
-            is_new
-        });
+        announce(&self.revision_sender, self.state.profiles().revision());
+        announce(&self.configuration_sender, self.state.configurations().version());
     }
 }
 
+/// Wakes the receivers if a position has changed.
+fn announce(sender: &watch::Sender<u64>, position: u64) {
+    sender.send_if_modified(|known| {
+        let is_new = *known != position;
+        *known = position;
+        is_new
+    });
+}
+
 /// Returns an older member at the same address as a newer voter.
 fn replaced_member(membership: &Membership) -> Option<ReplicaId> {
     let is_replaced = |id: ReplicaId, address: &str| {
@@ -436,6 +452,7 @@
         snapshot_index: raft.snapshot_index(),
         quorum_contact_us: now_us.saturating_sub(raft.contact_age_us(now_us)),
         profiles: Arc::clone(state.profiles()),
+        configurations: Arc::clone(state.configurations()),
         claims: state.claims().len(),
     }
 }
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -15,6 +15,7 @@
 use tonic::transport::Server;
 use tonic::transport::server::TcpIncoming;
 
+use crate::configuration_store::ConfigurationStore;
 use crate::directory::Directory;
 use crate::formation;
 use crate::peers::{self, PeerStreams};
@@ -70,6 +71,22 @@
 ///
 /// Returns an error if the files are unusable, a listener cannot be opened or the replica fails.
 pub async fn run(log: Logger, settings: Settings) -> Result<(), ServerError> {
+    run_with(log, settings, |_| std::future::ready(())).await
+}
+
+/// Runs a replica and, beside it, a listener that offers its configuration to operators.
+///
+/// # Errors
+///
+/// Returns an error if the files are unusable, a listener cannot be opened or the replica fails.
+pub async fn run_with<F>(
+    log: Logger,
+    settings: Settings,
+    operators: impl FnOnce(ConfigurationStore) -> F,
+) -> Result<(), ServerError>
+where
+    F: Future<Output = ()> + Send + 'static,
+{
     let clock = Clock::new();
     let id = own_identity(&settings)?;
     let (files, recovered) = ReplicaFiles::open(&settings.data_dir)?;
@@ -92,6 +109,7 @@
         "admin" => %admin.address(), "data_centre" => %settings.data_centre);
     tokio::spawn(formation::run(log.clone(), settings.clone(), replica.clone()));
     tokio::spawn(service::sync_directories(shared.clone()));
+    tokio::spawn(operators(ConfigurationStore::new(shared.clone())));
     let serve = serve(listener, shared, stop_sender);
     let result = watch_thread(serve, thread, &replica, &settings).await;
     info!(log, "control-stopped"; "replica" => %id);
@@ -137,6 +155,7 @@
         "snapshot_index": view.snapshot_index,
         "quorum_contact_age_ms": now_us.saturating_sub(view.quorum_contact_us) / 1_000,
         "profile_revision": view.profiles.revision(),
+        "configuration_version": view.configurations.version(),
         "claims": view.claims,
         "endpoints": endpoints,
     })
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -1,6 +1,7 @@
 //! The services that a replica offers to nodes, operators and other replicas.
 
 mod claim_service;
+mod configuration_service;
 mod directory_service;
 mod profile_service;
 mod replica_service;
@@ -12,6 +13,7 @@
 use daemon::Clock;
 use rpc::SyncDirectoryRequest;
 use rpc::claims_server::ClaimsServer;
+use rpc::configurations_server::ConfigurationsServer;
 use rpc::directory_server::DirectoryServer;
 use rpc::profiles_server::ProfilesServer;
 use rpc::replica_client::ReplicaClient;
@@ -21,6 +23,7 @@
 use tonic::transport::server::Router;
 use tonic::transport::{Channel, Server};
 
+use crate::configuration_store::ConfigurationStore;
 use crate::directory::Directory;
 use crate::peers::Channels;
 use crate::replica::ReplicaHandle;
@@ -108,7 +111,12 @@
 pub(crate) fn add_services(mut server: Server, shared: &Shared) -> Router {
     let replica = ReplicaServer::new(replica_service::ReplicaService::new(shared.clone()))
         .max_decoding_message_size(MAX_MESSAGE_BYTES);
+    let store = ConfigurationStore::new(shared.clone());
+    let configurations =
+        ConfigurationsServer::new(configuration_service::ConfigurationService::new(store))
+            .max_decoding_message_size(MAX_MESSAGE_BYTES);
     server
+        .add_service(configurations)
         .add_service(ClaimsServer::new(claim_service::ClaimService::new(shared.clone())))
         .add_service(DirectoryServer::new(directory_service::DirectoryService::new(shared.clone())))
         .add_service(ProfilesServer::new(profile_service::ProfileService::new(shared.clone())))
--- a/crates/control/src/service/directory_service.rs
+++ b/crates/control/src/service/directory_service.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use indexmap::IndexMap;
 use rpc::directory_server::Directory;
-use rpc::{ControlUpdate, Endpoint, NodeReport, ProfileRecord, ProfileSet};
+use rpc::{ConfigurationRecord, ControlUpdate, Endpoint, NodeReport, ProfileRecord, ProfileSet};
 use slog::{info, o};
 use tokio::sync::mpsc;
 use tokio_stream::wrappers::ReceiverStream;
@@ -49,6 +50,7 @@
             shared: self.shared.clone(),
             sent: IndexMap::new(),
             sent_profile_revision: first.profile_revision,
+            sent_configuration_version: first.configuration_version,
             is_first: true,
             report: first,
         };
@@ -69,6 +71,7 @@
     /// Endpoints as the node knows them.
     sent: IndexMap<String, Endpoint>,
     sent_profile_revision: u64,
+    sent_configuration_version: u64,
     is_first: bool,
 }
 
@@ -80,6 +83,7 @@
     ) -> Result<(), Closed> {
         let mut directory_revision = self.shared.directory_revision.subscribe();
         let mut profile_revision = self.shared.replica.profile_revision();
+        let mut configuration_version = self.shared.replica.configuration_version();
         let mut stop = self.shared.stop.clone();
         let mut contact = tokio::time::interval(CONTACT_INTERVAL);
         self.record();
@@ -97,6 +101,7 @@
                 },
                 _ = directory_revision.changed() => true,
                 _ = profile_revision.changed() => true,
+                _ = configuration_version.changed() => true,
                 _ = contact.tick() => {
                     self.send(&updates, ControlUpdate::default()).await?;
                     false
@@ -134,13 +139,15 @@
         let gone = self.sent.keys().filter(|vm| !wanted.contains_key(*vm)).cloned();
         let gone: Vec<String> = gone.collect();
         let profiles = self.new_profiles();
-        let has_news =
-            self.is_first || !changed.is_empty() || !gone.is_empty() || profiles.is_some();
-        if !has_news {
+        let configuration = self.new_configuration();
+        let has_endpoint_news = !changed.is_empty() || !gone.is_empty();
+        let has_document_news = profiles.is_some() || configuration.is_some();
+        if !self.is_first && !has_endpoint_news && !has_document_news {
             return Ok(());
         }
         let update = ControlUpdate {
             profiles,
+            configuration,
             endpoints: changed,
             removed_vms: gone,
             is_full: self.is_first,
@@ -170,6 +177,17 @@
         Some(set)
     }
 
+    fn new_configuration(&mut self) -> Option<ConfigurationRecord> {
+        let view = self.shared.replica.view();
+        let current = view.configurations.current()?;
+        if current.version <= self.sent_configuration_version {
+            return None;
+        }
+        self.sent_configuration_version = current.version;
+        let text = Bytes::copy_from_slice(&current.text);
+        Some(ConfigurationRecord { version: current.version, text })
+    }
+
     async fn send(
         &self,
         updates: &mpsc::Sender<Result<ControlUpdate, Status>>,
@@ -177,7 +195,12 @@
     ) -> Result<(), Closed> {
         let view = self.shared.replica.view();
         let age_us = self.shared.clock.now_us().saturating_sub(view.quorum_contact_us);
-        let update = ControlUpdate { contact_age_ms: age_us / 1_000, ..update };
+        let members = view.membership.members.values();
+        let update = ControlUpdate {
+            contact_age_ms: age_us / 1_000,
+            replica_addresses: members.map(|member| member.address.clone()).collect(),
+            ..update
+        };
         updates.send(Ok(update)).await.map_err(|_| Closed)
     }
 }
--- a/crates/control/src/service/replica_service.rs
+++ b/crates/control/src/service/replica_service.rs
@@ -92,6 +92,7 @@
             replica_id: view.id.0,
             is_formed: !view.membership.members.is_empty(),
             members: members.collect(),
+            data_centre: self.shared.settings.data_centre.to_string(),
         }))
     }
 
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -61,6 +61,15 @@
     }
 }
 
+/// How a replica without a membership gets one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Formation {
+    /// It forms the cluster with the first members, or joins one that is formed.
+    FirstMembers,
+    /// It only joins a cluster that is formed.
+    JoinOnly,
+}
+
 /// Checked settings of a control replica.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -76,8 +85,10 @@
     pub admin_listen: SocketAddr,
     /// Folder of the replica's files.
     pub data_dir: PathBuf,
-    /// First members of the cluster.
-    pub members: Vec<MemberAddress>,
+    /// First members of the cluster, or replicas through which this one joins.
+    pub members: Vec<SocketAddr>,
+    /// How a replica without a membership gets one.
+    pub formation: Formation,
     /// Token that operators present; without one no change is taken.
     pub operator_token: Option<String>,
     /// Time for which claims are remembered, in milliseconds.
@@ -165,7 +176,8 @@
             advertise,
             admin_listen: required(matches, "admin-listen"),
             data_dir: required(matches, "data-dir"),
-            members,
+            members: members.into_iter().map(|member| member.address).collect(),
+            formation: Formation::FirstMembers,
             operator_token: read_token(optional(matches, "operator-token-file"))?,
             claim_window_ms: claim_window_s * 1_000,
         })
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -6,10 +6,11 @@
 use serde::{Deserialize, Serialize};
 
 use crate::claims::{Claim, ClaimLedger, ClaimResult, Settle};
+use crate::configurations::{ConfigurationChange, ConfigurationResult, ConfigurationTable};
 use crate::profiles::{Change, ChangeResult, ProfileTable};
 
 /// Version of the stored form.
-const FORMAT_VERSION: u32 = 1;
+const FORMAT_VERSION: u32 = 2;
 
 quick_error! {
     /// Stored state or a command that cannot be read.
@@ -36,6 +37,10 @@
     Claim(Claim),
     /// Ends a claim.
     Settle(Settle),
+    /// Replaces the configuration.
+    Configure(ConfigurationChange),
+    /// Changes nothing; its commit proves that no newer state was accepted elsewhere.
+    Barrier,
 }
 
 impl Command {
@@ -58,13 +63,18 @@
     Claim(ClaimResult),
     /// Whether the holder had the claim.
     Settle(bool),
+    /// Answer to a change of the configuration.
+    Configure(ConfigurationResult),
+    /// The configuration when the barrier was committed.
+    Barrier(Arc<ConfigurationTable>),
 }
 
-/// Profiles and claims.
+/// Profiles, claims and the configuration.
 #[derive(Debug, Default)]
 pub struct State {
     profiles: Arc<ProfileTable>,
     claims: ClaimLedger,
+    configurations: Arc<ConfigurationTable>,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -72,6 +82,7 @@
     version: u32,
     profiles: Arc<ProfileTable>,
     claims: ClaimLedger,
+    configurations: Arc<ConfigurationTable>,
 }
 
 impl State {
@@ -88,7 +99,11 @@
         if stored.version != FORMAT_VERSION {
             return Err(StateError::Version(stored.version));
         }
-        Ok(Self { profiles: stored.profiles, claims: stored.claims })
+        Ok(Self {
+            profiles: stored.profiles,
+            claims: stored.claims,
+            configurations: stored.configurations,
+        })
     }
 
     /// Encodes a snapshot.
@@ -101,6 +116,7 @@
             version: FORMAT_VERSION,
             profiles: Arc::clone(&self.profiles),
             claims: self.claims.clone(),
+            configurations: Arc::clone(&self.configurations),
         };
         Ok(postcard::to_stdvec(&stored)?)
     }
@@ -117,6 +133,10 @@
             }
             Command::Claim(claim) => Applied::Claim(self.claims.claim(claim)),
             Command::Settle(settle) => Applied::Settle(self.claims.settle(settle)),
+            Command::Configure(change) => {
+                Applied::Configure(Arc::make_mut(&mut self.configurations).apply(change))
+            }
+            Command::Barrier => Applied::Barrier(Arc::clone(&self.configurations)),
         };
         Ok(applied)
     }
@@ -126,6 +146,11 @@
         &self.profiles
     }
 
+    /// Returns the configurations.
+    pub fn configurations(&self) -> &Arc<ConfigurationTable> {
+        &self.configurations
+    }
+
     /// Returns the claims.
     pub fn claims(&self) -> &ClaimLedger {
         &self.claims
--- a/crates/control/src/view.rs
+++ b/crates/control/src/view.rs
@@ -4,6 +4,7 @@
 
 use consensus::{Index, Membership, ReplicaId, Role, Term};
 
+use crate::configurations::ConfigurationTable;
 use crate::profiles::ProfileTable;
 
 /// Immutable snapshot of the replica.
@@ -31,6 +32,8 @@
     pub quorum_contact_us: u64,
     /// Profiles.
     pub profiles: Arc<ProfileTable>,
+    /// Configuration of routes.
+    pub configurations: Arc<ConfigurationTable>,
     /// Remembered claims.
     pub claims: usize,
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,10 +11,10 @@
     admin::{AdminError, AdminReply, AdminServer},
     clock::Clock,
     logs::logger,
-    program::run_program,
+    program::{run_on_one_thread, run_program},
     settings::{
         EXIT_BAD_SETTINGS, check_only_flag, is_check_only, list_flag, optional, required,
         setting_flag, values,
     },
-    signals::stop_requested,
+    signals::{ReloadSignals, stop_requested},
 };
--- /dev/null
+++ b/crates/mesh/src/caller.rs
@@ -0,0 +1,251 @@
+//! Requests of callers and of the upstream beside the node.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use arc_swap::ArcSwapOption;
+use http::{HeaderValue, Request, Response, StatusCode, header};
+use hyper::body::Incoming;
+use indexmap::IndexMap;
+use model::{Configuration, HostRoute, Outcome, Reason, ServiceName};
+use policy::US_PER_MS;
+use policy::retry_after;
+use policy::slots::Standing;
+use policy::split::WeightedSplit;
+use slog::{Logger, info};
+
+use crate::body::{AnswerBody, BodyError, CallBody};
+use crate::call::{self, CallHead};
+use crate::dialect::{Dialect, RequestFacts};
+use crate::dispatch::Dispatcher;
+use crate::failure::Failure;
+use crate::ingress::{Answer, forwarded_headers};
+use crate::listener::{ConnectionLimits, Handler};
+
+/// Time that a caller waits if neither it nor the route says how long, in milliseconds.
+const DEFAULT_TIMEOUT_MS: u64 = 30_000;
+/// Part of the latency objective that a new request may wait for a slot. A caller that is refused
+/// within it can still be served in time elsewhere or later.
+const MAX_WAIT_PART: u64 = 8;
+/// Longest wait of a new request without an objective, in milliseconds.
+const DEFAULT_MAX_WAIT_MS: u64 = 200;
+
+/// The configuration in force and the counters that split its routes.
+pub(crate) struct InForce {
+    pub(crate) configuration: Configuration,
+    splits: IndexMap<Arc<str>, WeightedSplit>,
+}
+
+impl InForce {
+    pub(crate) fn new(configuration: Configuration) -> Self {
+        let splits = configuration.routes().map(|route| {
+            let weights = route.targets.iter().map(|target| target.weight);
+            (Arc::clone(&route.name), WeightedSplit::new(weights, rand::random()))
+        });
+        let splits = splits.collect();
+        Self { configuration, splits }
+    }
+
+    fn target(&self, route: &HostRoute) -> Option<ServiceName> {
+        let index = self.splits.get(&route.name)?.next();
+        route.targets.get(index).map(|target| target.service.clone())
+    }
+}
+
+/// Configuration of a node. Never goes back to an older version.
+pub(crate) struct ConfigurationHolder {
+    log: Logger,
+    in_force: ArcSwapOption<InForce>,
+    version: AtomicU64,
+}
+
+impl ConfigurationHolder {
+    pub(crate) fn new(log: Logger) -> Self {
+        Self { log, in_force: ArcSwapOption::empty(), version: AtomicU64::new(0) }
+    }
+
+    pub(crate) fn version(&self) -> u64 {
+        self.version.load(Ordering::Acquire)
+    }
+
+    pub(crate) fn load(&self) -> Option<Arc<InForce>> {
+        self.in_force.load_full()
+    }
+
+    /// Puts a configuration in force unless a newer one is. Returns whether it did.
+    pub(crate) fn apply(&self, configuration: Configuration) -> bool {
+        let version = configuration.version();
+        if version <= self.version() {
+            return false;
+        }
+        self.in_force.store(Some(Arc::new(InForce::new(configuration))));
+        self.version.store(version, Ordering::Release);
+        info!(self.log, "configuration-in-force"; "version" => version);
+        true
+    }
+}
+
+/// Handler of the caller listener.
+pub(crate) struct CallerHandler<D> {
+    pub(crate) dialect: Arc<D>,
+    pub(crate) dispatcher: Arc<Dispatcher<D>>,
+    pub(crate) configuration: Arc<ConfigurationHolder>,
+    /// Service named in the settings, until the upstream has reported itself.
+    pub(crate) service: ServiceName,
+}
+
+impl<D: Dialect> CallerHandler<D> {
+    async fn answer(
+        &self,
+        request: Request<Incoming>,
+        facts: &RequestFacts,
+        remote: SocketAddr,
+    ) -> Result<Answer, Failure> {
+        let started_us = self.dispatcher.clock.now_us();
+        let (parts, incoming) = request.into_parts();
+        let in_force =
+            self.configuration.load().ok_or_else(|| Failure::not_run(Reason::NoProfile))?;
+        let limits = in_force.configuration.limits();
+        let head_bytes: usize =
+            parts.headers.iter().map(|(name, value)| name.as_str().len() + value.len() + 4).sum();
+        if head_bytes as u64 > limits.max_header_bytes {
+            return Err(Failure::not_run(Reason::HeadersTooLarge));
+        }
+        let host = parts.headers.get(header::HOST).and_then(|host| host.to_str().ok());
+        let host = host.or_else(|| parts.uri.authority().map(|authority| authority.as_str()));
+        let host = host.ok_or_else(|| Failure::not_run(Reason::BadRequest))?;
+        let path = parts.uri.path();
+        let route = find_route(&in_force.configuration, host, path);
+        let route = route.ok_or_else(|| Failure::not_run(Reason::UnknownRoute))?;
+        let service =
+            in_force.target(route).ok_or_else(|| Failure::not_run(Reason::UnknownRoute))?;
+        let upstreams = &self.dispatcher.ingress.upstreams;
+        let standing = match upstreams.is_at(remote.ip()) {
+            true => Standing::Begun,
+            false => Standing::Entry(route.rank),
+        };
+        let caller = upstreams.service().unwrap_or_else(|| self.service.clone());
+        let head = CallHead {
+            service,
+            caller: Arc::from(caller.as_str()),
+            method: parts.method,
+            uri: parts.uri,
+            headers: forwarded_headers(parts.headers),
+            request_id: facts.request_id.clone(),
+            standing,
+            kind: call::kind_of(route),
+            repeatability: route.repeatability,
+            deadline_us: started_us + time_left(facts, route).as_micros() as u64,
+            max_wait_us: max_wait_us(standing, route),
+        };
+        let body = CallBody::read(incoming, limits.max_body_bytes).await;
+        let body = body.map_err(|error| {
+            Failure::not_run(match error {
+                BodyError::TooLarge => Reason::BodyTooLarge,
+                BodyError::Transport(_) => Reason::TruncatedRequest,
+            })
+        })?;
+        self.dispatcher.run(head, body, route.max_attempts).await
+    }
+
+    fn log_failure(&self, facts: &RequestFacts, failure: &Failure, elapsed_us: u64) {
+        let metrics = &self.dispatcher.metrics;
+        let Some(log) = self.dispatcher.request_log.line(metrics) else { return };
+        let id = facts.request_id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("-");
+        info!(log, "request-failed"; "request" => id, "reason" => failure.reason.as_str(),
+            "outcome" => failure.outcome.as_str(), "status" => failure.status().as_u16(),
+            "wait_ms" => failure.wait.as_millis() as u64, "elapsed_ms" => elapsed_us / US_PER_MS,
+            "configuration" => self.configuration.version());
+    }
+
+    fn failure_response(&self, facts: &RequestFacts, failure: &Failure) -> Response<AnswerBody> {
+        let status = failure.status();
+        let mut response = Response::new(AnswerBody::default());
+        *response.status_mut() = status;
+        let headers = response.headers_mut();
+        if status == StatusCode::SERVICE_UNAVAILABLE {
+            let wait = retry_after::mesh_advice(failure.wait, rand::random());
+            self.dialect.write_retry_after(headers, wait);
+        }
+        if let Some(request_id) = &facts.request_id {
+            self.dialect.write_request_id(headers, request_id);
+        }
+        if matches!(failure.reason, Reason::BodyTooLarge | Reason::TruncatedRequest) {
+            headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+}
+
+impl<D: Dialect> Handler for CallerHandler<D> {
+    async fn handle(&self, request: Request<Incoming>, remote: SocketAddr) -> Response<AnswerBody> {
+        let dispatcher = &self.dispatcher;
+        dispatcher.metrics.requests.inc();
+        let started_us = dispatcher.clock.now_us();
+        let facts = self.dialect.read_request(request.headers());
+        let result = self.answer(request, &facts, remote).await;
+        let elapsed_us = dispatcher.clock.now_us().saturating_sub(started_us);
+        dispatcher.metrics.latency.observe(elapsed_us as f64 / policy::US_PER_S as f64);
+        let mut response = match result {
+            Ok(answer) => {
+                dispatcher.metrics.answered.inc();
+                let mut response = Response::new(answer.body);
+                *response.status_mut() = answer.status;
+                *response.headers_mut() = answer.headers;
+                response
+            }
+            Err(failure) => {
+                match failure.outcome {
+                    Outcome::NotRun => dispatcher.metrics.refused_to_caller.inc(),
+                    _ => dispatcher.metrics.failed.inc(),
+                }
+                self.log_failure(&facts, &failure, elapsed_us);
+                self.failure_response(&facts, &failure)
+            }
+        };
+        if dispatcher.ingress.is_stopping() {
+            response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+
+    fn connection_limits(&self) -> ConnectionLimits {
+        let limits = self.configuration.load().map(|in_force| in_force.configuration.limits());
+        let limits = limits.unwrap_or_default();
+        // The library has one timer for the idle time and the time of the head.
+        let head_timeout_ms = limits.idle_timeout_ms.max(limits.header_timeout_ms);
+        ConnectionLimits {
+            head_timeout: Duration::from_millis(head_timeout_ms),
+            max_head_bytes: usize::try_from(limits.max_header_bytes).unwrap_or(usize::MAX),
+        }
+    }
+}
+
+/// Finds a route by the host as sent, then without its port.
+fn find_route<'a>(
+    configuration: &'a Configuration,
+    host: &str,
+    path: &str,
+) -> Option<&'a Arc<HostRoute>> {
+    configuration.find(host, path).or_else(|| {
+        let (name, _port) = host.rsplit_once(':')?;
+        configuration.find(name, path)
+    })
+}
+
+fn time_left(facts: &RequestFacts, route: &HostRoute) -> Duration {
+    let by_route = route.timeout_ms.map(Duration::from_millis);
+    let least = [facts.time_left, by_route].into_iter().flatten().min();
+    least.unwrap_or(Duration::from_millis(DEFAULT_TIMEOUT_MS))
+}
+
+/// A begun request waits as long as it can still finish; a new one only while that costs it nothing.
+fn max_wait_us(standing: Standing, route: &HostRoute) -> u64 {
+    match (standing, route.objective_ms) {
+        (Standing::Begun, _) => DEFAULT_TIMEOUT_MS * US_PER_MS,
+        (Standing::Entry(_), Some(objective_ms)) => objective_ms * US_PER_MS / MAX_WAIT_PART,
+        (Standing::Entry(_), None) => DEFAULT_MAX_WAIT_MS * US_PER_MS,
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/metrics.rs
@@ -0,0 +1,74 @@
+//! Counters and latencies of a node, as text at its metrics address.
+
+use prometheus::{Encoder, Histogram, HistogramOpts, IntCounter, Registry, TextEncoder};
+
+use crate::server::MetricsError;
+
+/// Upper bounds of the latency buckets, in seconds: from a short call to the longest deadlines.
+const LATENCY_BUCKETS_S: &[f64] = &[0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0];
+
+/// Counters and latencies of a node.
+pub(crate) struct Metrics {
+    registry: Registry,
+    pub(crate) requests: IntCounter,
+    pub(crate) answered: IntCounter,
+    pub(crate) refused_to_caller: IntCounter,
+    pub(crate) failed: IntCounter,
+    pub(crate) attempts: IntCounter,
+    pub(crate) repeats: IntCounter,
+    pub(crate) dispatched: IntCounter,
+    pub(crate) refused: IntCounter,
+    pub(crate) shed_by_upstream: IntCounter,
+    pub(crate) log_lines_suppressed: IntCounter,
+    pub(crate) latency: Histogram,
+}
+
+impl Metrics {
+    /// Registers every counter.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a name is malformed or taken.
+    pub(crate) fn new() -> Result<Self, MetricsError> {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str| -> Result<IntCounter, MetricsError> {
+            let counter = IntCounter::new(format!("heatherweir_mesh_{name}"), help)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok(counter)
+        };
+        let latency = Histogram::with_opts(
+            HistogramOpts::new("heatherweir_mesh_latency_seconds", "Time to a caller's answer")
+                .buckets(LATENCY_BUCKETS_S.to_vec()),
+        )?;
+        registry.register(Box::new(latency.clone()))?;
+        Ok(Self {
+            requests: counter("requests_total", "Requests of callers and of the upstream")?,
+            answered: counter("answered_total", "Requests that got an upstream's answer")?,
+            refused_to_caller: counter(
+                "not_run_total",
+                "Requests that were told they did not run",
+            )?,
+            failed: counter("unknown_total", "Requests that failed and may have run")?,
+            attempts: counter("attempts_total", "Calls sent to a node, the own one included")?,
+            repeats: counter("repeats_total", "Calls sent again after they may have run")?,
+            dispatched: counter("dispatched_total", "Calls sent to the upstream")?,
+            refused: counter("refused_total", "Calls refused before dispatch")?,
+            shed_by_upstream: counter("shed_total", "Calls that the upstream refused")?,
+            log_lines_suppressed: counter(
+                "log_suppressed_total",
+                "Log lines above the rate limit",
+            )?,
+            latency,
+            registry,
+        })
+    }
+
+    /// Returns all values as text.
+    pub(crate) fn to_text(&self) -> String {
+        let mut text = Vec::new();
+        match TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            Ok(()) => String::from_utf8_lossy(&text).into_owned(),
+            Err(error) => format!("# {error}\n"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/peer.rs
@@ -0,0 +1,252 @@
+//! Calls between nodes: HTTP/1.1 with internal headers, answered with the load of the node.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use daemon::Clock;
+use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode};
+use http_body::Body;
+use hyper::body::Incoming;
+use model::{Outcome, Reason, Repeatability, ServiceName, headers};
+use policy::placement::PlacementLoad;
+use policy::slots::Standing;
+use quick_error::quick_error;
+
+use crate::body::{self, AnswerBody, CallBody, StreamGuard};
+use crate::call::CallHead;
+use crate::dialect::Dialect;
+use crate::failure::Failure;
+use crate::ingress::{Answer, Ingress, NodeLoad, forwarded_headers};
+use crate::links::{LinkError, Links, Reuse};
+use crate::listener::Handler;
+
+/// Version of the headers below; nodes refuse calls of another version.
+const VERSION: &str = "1";
+const SERVICE: HeaderName = HeaderName::from_static(headers::SERVICE);
+/// Version, kind, standing, time left, longest wait and repeatability of a call.
+const CALL: HeaderName = HeaderName::from_static("heatherweir-call");
+const CALLER: HeaderName = HeaderName::from_static("heatherweir-caller");
+const LOAD: HeaderName = HeaderName::from_static("heatherweir-load");
+const OUTCOME: HeaderName = HeaderName::from_static(headers::OUTCOME);
+const REASON: HeaderName = HeaderName::from_static(headers::REASON);
+/// Expected wait for room in microseconds, and whether the upstream itself refused.
+const REFUSAL: HeaderName = HeaderName::from_static("heatherweir-refusal");
+
+/// Largest body that a node takes from another one; the caller's node has checked the real limit.
+const MAX_BODY_BYTES: u64 = u64::MAX;
+
+quick_error! {
+    /// A call that does not come from a node of this version.
+    #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+    pub enum CallError {
+        /// An internal header is missing or malformed.
+        Malformed {
+            display("the internal headers are missing or malformed")
+        }
+        /// The sender speaks another version.
+        Version {
+            display("the sender speaks another version")
+        }
+    }
+}
+
+/// Sends a call to another node.
+pub(crate) async fn forward(
+    links: &Links,
+    clock: Clock,
+    address: SocketAddr,
+    head: &CallHead,
+    body: CallBody,
+) -> (Result<Answer, Failure>, Option<NodeLoad>) {
+    let Some(request) = encode_call(clock, head, body) else {
+        return (Err(Failure::not_run(Reason::BadRequest)), None);
+    };
+    // A connection to a node is closed only after it was silent for long, so any will do.
+    let (response, lease) = match links.send(address, request, Reuse::Idle).await {
+        Ok(sent) => sent,
+        Err(LinkError::NotSent(_)) => return (Err(Failure::not_run(Reason::ConnectFailed)), None),
+        Err(LinkError::Broken) => return (Err(Failure::unknown(Reason::ConnectionLost)), None),
+    };
+    let (parts, mut incoming) = response.into_parts();
+    let Some(load) = decode_load(&parts.headers) else {
+        return (Err(Failure::unknown(Reason::VersionMismatch)), None);
+    };
+    let failure = decode_failure(&parts.headers);
+    let read = match incoming.size_hint().lower() > body::MAX_HELD_BYTES as u64 {
+        true => Ok((bytes::Bytes::new(), false)),
+        false => body::read_up_to(&mut incoming).await,
+    };
+    let Ok((held, is_whole)) = read else {
+        return (Err(Failure::unknown(Reason::TruncatedAnswer)), Some(load));
+    };
+    let body = if is_whole {
+        lease.give_back();
+        AnswerBody::full(held)
+    } else {
+        AnswerBody::streaming(held, incoming, StreamGuard::Peer { lease })
+    };
+    let result = match failure {
+        Some(failure) => Err(failure),
+        None => {
+            Ok(Answer { status: parts.status, headers: forwarded_headers(parts.headers), body })
+        }
+    };
+    (result, Some(load))
+}
+
+/// Answers calls of other nodes.
+pub(crate) struct PeerHandler<D> {
+    clock: Clock,
+    ingress: Arc<Ingress<D>>,
+}
+
+impl<D: Dialect> PeerHandler<D> {
+    pub(crate) fn new(clock: Clock, ingress: Arc<Ingress<D>>) -> Self {
+        Self { clock, ingress }
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Result<Answer, Failure> {
+        let (parts, incoming) = request.into_parts();
+        let head = decode_call(self.clock, parts, &*self.ingress);
+        let head = head.map_err(|error| {
+            Failure::not_run(match error {
+                CallError::Malformed => Reason::BadRequest,
+                CallError::Version => Reason::VersionMismatch,
+            })
+        })?;
+        let body = CallBody::read(incoming, MAX_BODY_BYTES).await;
+        let body = body.map_err(|_| Failure::not_run(Reason::TruncatedRequest))?;
+        self.ingress.serve(head, body).await
+    }
+}
+
+impl<D: Dialect> Handler for PeerHandler<D> {
+    async fn handle(
+        &self,
+        request: Request<Incoming>,
+        _remote: SocketAddr,
+    ) -> Response<AnswerBody> {
+        let result = self.answer(request).await;
+        let mut response = match result {
+            Ok(answer) => {
+                let mut response = Response::new(answer.body);
+                *response.status_mut() = answer.status;
+                *response.headers_mut() = answer.headers;
+                response
+            }
+            Err(failure) => encode_failure(&failure),
+        };
+        response.headers_mut().insert(LOAD, encode_load(self.ingress.load()));
+        response
+    }
+}
+
+fn encode_call(clock: Clock, head: &CallHead, body: CallBody) -> Option<Request<CallBody>> {
+    let left_us = head.deadline_us.saturating_sub(clock.now_us());
+    let standing = match head.standing {
+        Standing::Begun => 0,
+        Standing::Entry(rank) => u64::from(rank) + 1,
+    };
+    let is_repeatable = u8::from(head.repeatability == Repeatability::Idempotent);
+    let (kind, max_wait_us) = (head.kind, head.max_wait_us);
+    let call = format!("{VERSION} {kind} {standing} {left_us} {max_wait_us} {is_repeatable}");
+    let mut request = Request::new(body);
+    *request.method_mut() = head.method.clone();
+    *request.uri_mut() = head.uri.clone();
+    let mut headers = head.headers.clone();
+    headers.insert(SERVICE, HeaderValue::try_from(head.service.as_str()).ok()?);
+    headers.insert(CALLER, HeaderValue::try_from(&*head.caller).ok()?);
+    headers.insert(CALL, HeaderValue::try_from(call).ok()?);
+    *request.headers_mut() = headers;
+    Some(request)
+}
+
+fn decode_call<D: Dialect>(
+    clock: Clock,
+    parts: http::request::Parts,
+    ingress: &Ingress<D>,
+) -> Result<CallHead, CallError> {
+    let text = |name: &HeaderName| {
+        let value = parts.headers.get(name).and_then(|value| value.to_str().ok());
+        value.ok_or(CallError::Malformed)
+    };
+    let service = ServiceName::new(text(&SERVICE)?).map_err(|_| CallError::Malformed)?;
+    let caller = Arc::from(text(&CALLER)?);
+    let mut fields = text(&CALL)?.split(' ');
+    if fields.next() != Some(VERSION) {
+        return Err(CallError::Version);
+    }
+    let mut number = || {
+        let field = fields.next().and_then(|field| field.parse::<u64>().ok());
+        field.ok_or(CallError::Malformed)
+    };
+    let kind = number()?;
+    let standing = match number()? {
+        0 => Standing::Begun,
+        rank => Standing::Entry(u32::try_from(rank - 1).map_err(|_| CallError::Malformed)?),
+    };
+    let left_us = number()?;
+    let max_wait_us = number()?;
+    let repeatability = match number()? {
+        1 => Repeatability::Idempotent,
+        _ => Repeatability::AtMostOnce,
+    };
+    let headers = forwarded_headers(parts.headers);
+    let request_id = ingress.request_id(&headers);
+    Ok(CallHead {
+        service,
+        caller,
+        method: parts.method,
+        uri: parts.uri,
+        request_id,
+        headers,
+        standing,
+        kind,
+        repeatability,
+        deadline_us: clock.now_us().saturating_add(left_us),
+        max_wait_us,
+    })
+}
+
+fn encode_load(load: NodeLoad) -> HeaderValue {
+    let PlacementLoad { in_flight, queued, limit } = load.placement;
+    let is_leaving = u8::from(load.is_leaving);
+    HeaderValue::try_from(format!("{in_flight} {queued} {limit} {is_leaving}"))
+        .unwrap_or(HeaderValue::from_static("0 0 1 0"))
+}
+
+fn decode_load(headers: &HeaderMap) -> Option<NodeLoad> {
+    let mut fields = headers.get(LOAD)?.to_str().ok()?.split(' ');
+    let mut number = || fields.next()?.parse::<u32>().ok();
+    let placement = PlacementLoad { in_flight: number()?, queued: number()?, limit: number()? };
+    Some(NodeLoad { placement, is_leaving: number()? != 0 })
+}
+
+fn encode_failure(failure: &Failure) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::default());
+    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    let headers = response.headers_mut();
+    headers.insert(OUTCOME, HeaderValue::from_static(failure.outcome.as_str()));
+    headers.insert(REASON, HeaderValue::from_static(failure.reason.as_str()));
+    let has_arrived = u8::from(failure.has_arrived);
+    let refusal = format!("{} {has_arrived}", failure.wait.as_micros());
+    if let Ok(refusal) = HeaderValue::try_from(refusal) {
+        headers.insert(REFUSAL, refusal);
+    }
+    response
+}
+
+fn decode_failure(headers: &HeaderMap) -> Option<Failure> {
+    let text = |name: &HeaderName| headers.get(name).and_then(|value| value.to_str().ok());
+    let outcome = match text(&OUTCOME)? {
+        "not-run" => Outcome::NotRun,
+        _ => Outcome::Unknown,
+    };
+    let reason = text(&REASON).and_then(Reason::from_code).unwrap_or(Reason::VersionMismatch);
+    let mut refusal = text(&REFUSAL).unwrap_or_default().split(' ');
+    let wait_us = refusal.next().and_then(|field| field.parse().ok()).unwrap_or(0);
+    // Without the field the call counts as arrived, which costs a repeat more than it may have to.
+    let has_arrived = refusal.next() != Some("0");
+    Some(Failure { outcome, reason, wait: Duration::from_micros(wait_us), has_arrived })
+}
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -3,6 +3,7 @@
 //! Plain data without I/O. Every other crate builds on these types.
 
 mod class;
+mod configuration;
 mod context;
 pub mod headers;
 mod names;
@@ -13,6 +14,9 @@
 
 pub use crate::{
     class::{Class, ParseClassError},
+    configuration::{
+        CallerLimits, Configuration, ConfigurationError, HostRoute, Repeatability, RouteTarget,
+    },
     context::{CallContext, ContextError, RequestId},
     names::{DataCentreName, NameError, ProfileName, RouteName, ServiceName, VmName},
     outcome::{Outcome, Reason},
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -5,6 +5,7 @@
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
+use control_link::ControlLink;
 use daemon::{AdminError, AdminReply, AdminServer, Clock};
 use quick_error::quick_error;
 use rpc::peer_server::PeerServer;
@@ -18,7 +19,7 @@
 use crate::caller_listener::CallerHandler;
 use crate::claim_client::ClaimClient;
 use crate::claim_guard::ClaimGuard;
-use crate::control_link::ControlLink;
+use crate::control_link::Attachment;
 use crate::dispatch::Dispatcher;
 use crate::egress_listener::EgressHandler;
 use crate::http_listener;
@@ -90,14 +91,8 @@
         "data_centre" => %settings.vm.data_centre, "callers" => %callers.local_addr()?,
         "egress" => %egress.local_addr()?, "peers" => %peers.local_addr()?,
         "admin" => %admin.address());
-    let link = ControlLink::new(
-        log.clone(),
-        settings.clone(),
-        Arc::clone(&dispatcher),
-        announcements,
-        control_stop,
-    );
-    let control = start_control(link)?;
+    let attachment = Attachment::new(settings.clone(), Arc::clone(&dispatcher));
+    let control = start_control(log.clone(), attachment, announcements, control_stop)?;
 
     let caller_handler = Arc::new(CallerHandler::new(log.clone(), Arc::clone(&dispatcher)));
     let egress_handler =
@@ -153,10 +148,20 @@
     Ok(Arc::new(Dispatcher { clock, vm, ingress, routes, profiles, peers, stats, burn }))
 }
 
-fn start_control(link: ControlLink) -> io::Result<JoinHandle<()>> {
+fn start_control(
+    log: Logger,
+    attachment: Attachment,
+    announced: watch::Receiver<u64>,
+    stop: watch::Receiver<bool>,
+) -> io::Result<JoinHandle<()>> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let thread = thread::Builder::new().name("control".to_owned());
-    thread.spawn(move || runtime.block_on(link.run()))
+    thread.spawn(move || {
+        runtime.block_on(async {
+            attachment.fetch_from_peers().await;
+            ControlLink::new(log, attachment, announced, stop).run().await;
+        });
+    })
 }
 
 fn start_admin(
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,12 +8,16 @@
 pub mod budget;
 pub mod burn;
 pub mod limit;
+pub mod placement;
 pub mod quarantine;
+pub mod repeats;
 pub mod reserve;
 pub mod retry;
 pub mod retry_after;
 pub mod routing;
 pub mod shed;
+pub mod slots;
+pub mod split;
 
 /// Microseconds in a millisecond.
 pub const US_PER_MS: u64 = 1_000;
--- a/crates/rpc/src/generated.rs
+++ b/crates/rpc/src/generated.rs
@@ -182,6 +182,9 @@
     /// Services that this node calls; it hears of no others.
     #[prost(string, repeated, tag = "7")]
     pub called_services: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Version of the configuration in force at the node, zero for none.
+    #[prost(uint64, tag = "8")]
+    pub configuration_version: u64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct ControlUpdate {
@@ -196,6 +199,48 @@
     /// The endpoints are the whole list, not a delta.
     #[prost(bool, tag = "5")]
     pub is_full: bool,
+    /// Present when it is newer than the node's.
+    #[prost(message, optional, tag = "6")]
+    pub configuration: ::core::option::Option<ConfigurationRecord>,
+    /// Inner addresses of the replicas, sent with each update.
+    #[prost(string, repeated, tag = "7")]
+    pub replica_addresses: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+}
+/// The newest accepted configuration.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ConfigurationRecord {
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// As the operator sent it.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub text: ::prost::bytes::Bytes,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PutConfigurationRequest {
+    #[prost(uint64, tag = "1")]
+    pub base_version: u64,
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+    #[prost(bytes = "bytes", tag = "3")]
+    pub text: ::prost::bytes::Bytes,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PutConfigurationReply {
+    #[prost(enumeration = "PutOutcome", tag = "1")]
+    pub outcome: i32,
+    /// Version in place after the call.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ReadConfigurationRequest {}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ReadConfigurationReply {
+    #[prost(bool, tag = "1")]
+    pub is_confirmed: bool,
+    /// Absent before the first one was accepted.
+    #[prost(message, optional, tag = "2")]
+    pub configuration: ::core::option::Option<ConfigurationRecord>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ClaimRequest {
@@ -376,6 +421,8 @@
     pub is_formed: bool,
     #[prost(message, repeated, tag = "3")]
     pub members: ::prost::alloc::vec::Vec<ReplicaMember>,
+    #[prost(string, tag = "4")]
+    pub data_centre: ::prost::alloc::string::String,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ReplicaMember {
@@ -453,6 +500,38 @@
 }
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
+pub enum PutOutcome {
+    Unspecified = 0,
+    Accepted = 1,
+    Conflict = 2,
+    NoQuorum = 3,
+}
+impl PutOutcome {
+    /// String value of the enum field names used in the ProtoBuf definition.
+    ///
+    /// The values are not transformed in any way and thus are considered stable
+    /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+    pub fn as_str_name(&self) -> &'static str {
+        match self {
+            Self::Unspecified => "PUT_OUTCOME_UNSPECIFIED",
+            Self::Accepted => "PUT_OUTCOME_ACCEPTED",
+            Self::Conflict => "PUT_OUTCOME_CONFLICT",
+            Self::NoQuorum => "PUT_OUTCOME_NO_QUORUM",
+        }
+    }
+    /// Creates an enum from field names used in the ProtoBuf definition.
+    pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+        match value {
+            "PUT_OUTCOME_UNSPECIFIED" => Some(Self::Unspecified),
+            "PUT_OUTCOME_ACCEPTED" => Some(Self::Accepted),
+            "PUT_OUTCOME_CONFLICT" => Some(Self::Conflict),
+            "PUT_OUTCOME_NO_QUORUM" => Some(Self::NoQuorum),
+            _ => None,
+        }
+    }
+}
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[repr(i32)]
 pub enum ClaimStatus {
     Unspecified = 0,
     Granted = 1,
@@ -1278,6 +1357,374 @@
     }
 }
 /// Generated client implementations.
+pub mod configurations_client {
+    #![allow(
+        unused_variables,
+        dead_code,
+        missing_docs,
+        clippy::wildcard_imports,
+        clippy::let_unit_value,
+    )]
+    use tonic::codegen::*;
+    use tonic::codegen::http::Uri;
+    /// The configuration of routes, replaced as a whole.
+    #[derive(Debug, Clone)]
+    pub struct ConfigurationsClient<T> {
+        inner: tonic::client::Grpc<T>,
+    }
+    impl<T> ConfigurationsClient<T>
+    where
+        T: tonic::client::GrpcService<tonic::body::Body>,
+        T::Error: Into<StdError>,
+        T::ResponseBody: Body<Data = Bytes> + std::marker::Send + 'static,
+        <T::ResponseBody as Body>::Error: Into<StdError> + std::marker::Send,
+    {
+        pub fn new(inner: T) -> Self {
+            let inner = tonic::client::Grpc::new(inner);
+            Self { inner }
+        }
+        pub fn with_origin(inner: T, origin: Uri) -> Self {
+            let inner = tonic::client::Grpc::with_origin(inner, origin);
+            Self { inner }
+        }
+        pub fn with_interceptor<F>(
+            inner: T,
+            interceptor: F,
+        ) -> ConfigurationsClient<InterceptedService<T, F>>
+        where
+            F: tonic::service::Interceptor,
+            T::ResponseBody: Default,
+            T: tonic::codegen::Service<
+                http::Request<tonic::body::Body>,
+                Response = http::Response<
+                    <T as tonic::client::GrpcService<tonic::body::Body>>::ResponseBody,
+                >,
+            >,
+            <T as tonic::codegen::Service<
+                http::Request<tonic::body::Body>,
+            >>::Error: Into<StdError> + std::marker::Send + std::marker::Sync,
+        {
+            ConfigurationsClient::new(InterceptedService::new(inner, interceptor))
+        }
+        /// Compress requests with the given encoding.
+        ///
+        /// This requires the server to support it otherwise it might respond with an
+        /// error.
+        #[must_use]
+        pub fn send_compressed(mut self, encoding: CompressionEncoding) -> Self {
+            self.inner = self.inner.send_compressed(encoding);
+            self
+        }
+        /// Enable decompressing responses.
+        #[must_use]
+        pub fn accept_compressed(mut self, encoding: CompressionEncoding) -> Self {
+            self.inner = self.inner.accept_compressed(encoding);
+            self
+        }
+        /// Limits the maximum size of a decoded message.
+        ///
+        /// Default: `4MB`
+        #[must_use]
+        pub fn max_decoding_message_size(mut self, limit: usize) -> Self {
+            self.inner = self.inner.max_decoding_message_size(limit);
+            self
+        }
+        /// Limits the maximum size of an encoded message.
+        ///
+        /// Default: `usize::MAX`
+        #[must_use]
+        pub fn max_encoding_message_size(mut self, limit: usize) -> Self {
+            self.inner = self.inner.max_encoding_message_size(limit);
+            self
+        }
+        pub async fn put(
+            &mut self,
+            request: impl tonic::IntoRequest<super::PutConfigurationRequest>,
+        ) -> std::result::Result<
+            tonic::Response<super::PutConfigurationReply>,
+            tonic::Status,
+        > {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/heatherweir.v1.Configurations/Put",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("heatherweir.v1.Configurations", "Put"));
+            self.inner.unary(req, path, codec).await
+        }
+        /// Answers only with proof that no newer one was accepted.
+        pub async fn read(
+            &mut self,
+            request: impl tonic::IntoRequest<super::ReadConfigurationRequest>,
+        ) -> std::result::Result<
+            tonic::Response<super::ReadConfigurationReply>,
+            tonic::Status,
+        > {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/heatherweir.v1.Configurations/Read",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("heatherweir.v1.Configurations", "Read"));
+            self.inner.unary(req, path, codec).await
+        }
+    }
+}
+/// Generated server implementations.
+pub mod configurations_server {
+    #![allow(
+        unused_variables,
+        dead_code,
+        missing_docs,
+        clippy::wildcard_imports,
+        clippy::let_unit_value,
+    )]
+    use tonic::codegen::*;
+    /// Generated trait containing gRPC methods that should be implemented for use with ConfigurationsServer.
+    #[async_trait]
+    pub trait Configurations: std::marker::Send + std::marker::Sync + 'static {
+        async fn put(
+            &self,
+            request: tonic::Request<super::PutConfigurationRequest>,
+        ) -> std::result::Result<
+            tonic::Response<super::PutConfigurationReply>,
+            tonic::Status,
+        >;
+        /// Answers only with proof that no newer one was accepted.
+        async fn read(
+            &self,
+            request: tonic::Request<super::ReadConfigurationRequest>,
+        ) -> std::result::Result<
+            tonic::Response<super::ReadConfigurationReply>,
+            tonic::Status,
+        >;
+    }
+    /// The configuration of routes, replaced as a whole.
+    #[derive(Debug)]
+    pub struct ConfigurationsServer<T> {
+        inner: Arc<T>,
+        accept_compression_encodings: EnabledCompressionEncodings,
+        send_compression_encodings: EnabledCompressionEncodings,
+        max_decoding_message_size: Option<usize>,
+        max_encoding_message_size: Option<usize>,
+    }
+    impl<T> ConfigurationsServer<T> {
+        pub fn new(inner: T) -> Self {
+            Self::from_arc(Arc::new(inner))
+        }
+        pub fn from_arc(inner: Arc<T>) -> Self {
+            Self {
+                inner,
+                accept_compression_encodings: Default::default(),
+                send_compression_encodings: Default::default(),
+                max_decoding_message_size: None,
+                max_encoding_message_size: None,
+            }
+        }
+        pub fn with_interceptor<F>(
+            inner: T,
+            interceptor: F,
+        ) -> InterceptedService<Self, F>
+        where
+            F: tonic::service::Interceptor,
+        {
+            InterceptedService::new(Self::new(inner), interceptor)
+        }
+        /// Enable decompressing requests with the given encoding.
+        #[must_use]
+        pub fn accept_compressed(mut self, encoding: CompressionEncoding) -> Self {
+            self.accept_compression_encodings.enable(encoding);
+            self
+        }
+        /// Compress responses with the given encoding, if the client supports it.
+        #[must_use]
+        pub fn send_compressed(mut self, encoding: CompressionEncoding) -> Self {
+            self.send_compression_encodings.enable(encoding);
+            self
+        }
+        /// Limits the maximum size of a decoded message.
+        ///
+        /// Default: `4MB`
+        #[must_use]
+        pub fn max_decoding_message_size(mut self, limit: usize) -> Self {
+            self.max_decoding_message_size = Some(limit);
+            self
+        }
+        /// Limits the maximum size of an encoded message.
+        ///
+        /// Default: `usize::MAX`
+        #[must_use]
+        pub fn max_encoding_message_size(mut self, limit: usize) -> Self {
+            self.max_encoding_message_size = Some(limit);
+            self
+        }
+    }
+    impl<T, B> tonic::codegen::Service<http::Request<B>> for ConfigurationsServer<T>
+    where
+        T: Configurations,
+        B: Body + std::marker::Send + 'static,
+        B::Error: Into<StdError> + std::marker::Send + 'static,
+    {
+        type Response = http::Response<tonic::body::Body>;
+        type Error = std::convert::Infallible;
+        type Future = BoxFuture<Self::Response, Self::Error>;
+        fn poll_ready(
+            &mut self,
+            _cx: &mut Context<'_>,
+        ) -> Poll<std::result::Result<(), Self::Error>> {
+            Poll::Ready(Ok(()))
+        }
+        fn call(&mut self, req: http::Request<B>) -> Self::Future {
+            match req.uri().path() {
+                "/heatherweir.v1.Configurations/Put" => {
+                    #[allow(non_camel_case_types)]
+                    struct PutSvc<T: Configurations>(pub Arc<T>);
+                    impl<
+                        T: Configurations,
+                    > tonic::server::UnaryService<super::PutConfigurationRequest>
+                    for PutSvc<T> {
+                        type Response = super::PutConfigurationReply;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::PutConfigurationRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Configurations>::put(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = PutSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
+                "/heatherweir.v1.Configurations/Read" => {
+                    #[allow(non_camel_case_types)]
+                    struct ReadSvc<T: Configurations>(pub Arc<T>);
+                    impl<
+                        T: Configurations,
+                    > tonic::server::UnaryService<super::ReadConfigurationRequest>
+                    for ReadSvc<T> {
+                        type Response = super::ReadConfigurationReply;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::ReadConfigurationRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Configurations>::read(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = ReadSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
+                _ => {
+                    Box::pin(async move {
+                        let mut response = http::Response::new(
+                            tonic::body::Body::default(),
+                        );
+                        let headers = response.headers_mut();
+                        headers
+                            .insert(
+                                tonic::Status::GRPC_STATUS,
+                                (tonic::Code::Unimplemented as i32).into(),
+                            );
+                        headers
+                            .insert(
+                                http::header::CONTENT_TYPE,
+                                tonic::metadata::GRPC_CONTENT_TYPE,
+                            );
+                        Ok(response)
+                    })
+                }
+            }
+        }
+    }
+    impl<T> Clone for ConfigurationsServer<T> {
+        fn clone(&self) -> Self {
+            let inner = self.inner.clone();
+            Self {
+                inner,
+                accept_compression_encodings: self.accept_compression_encodings,
+                send_compression_encodings: self.send_compression_encodings,
+                max_decoding_message_size: self.max_decoding_message_size,
+                max_encoding_message_size: self.max_encoding_message_size,
+            }
+        }
+    }
+    /// Generated gRPC service name
+    pub const SERVICE_NAME: &str = "heatherweir.v1.Configurations";
+    impl<T> tonic::server::NamedService for ConfigurationsServer<T> {
+        const NAME: &'static str = SERVICE_NAME;
+    }
+}
+/// Generated client implementations.
 pub mod claims_client {
     #![allow(
         unused_variables,
--- a/xtask/src/slopes.rs
+++ b/xtask/src/slopes.rs
@@ -192,6 +192,7 @@
             incarnation: 1,
             ..Endpoint::default()
         }),
+        configuration_version: 0,
         called_services: (0..=CALLED_SERVICES).map(service).collect(),
     }
 }
