Answer pipelined requests at once; end connections without losing answers

Cause: the HTTP library answers one request of a connection at a time and closes sockets with unread bytes, which resets them; its timer for heads also ends connections that were only idle, and the lingering close then read a request that nobody answered. Ruled out: the stop itself; the closes came before the listeners ended.

--- a/crates/mesh/src/body.rs
+++ b/crates/mesh/src/body.rs
@@ -42,7 +42,8 @@
 
 impl CallBody {
     /// Reads the beginning of a body, all of it if it is small.
-    pub(crate) async fn read(mut from: Incoming, max_bytes: u64) -> Result<Self, BodyError> {
+    pub(crate) async fn read(from: Option<Incoming>, max_bytes: u64) -> Result<Self, BodyError> {
+        let Some(mut from) = from else { return Ok(Self::default()) };
         if from.size_hint().lower() > max_bytes {
             return Err(BodyError::TooLarge);
         }
--- a/crates/mesh/src/caller.rs
+++ b/crates/mesh/src/caller.rs
@@ -7,7 +7,6 @@
 
 use arc_swap::ArcSwapOption;
 use http::{HeaderValue, Request, Response, StatusCode, header};
-use hyper::body::Incoming;
 use indexmap::IndexMap;
 use model::{Configuration, HostRoute, Outcome, Reason, ServiceName};
 use policy::US_PER_MS;
@@ -22,7 +21,7 @@
 use crate::dispatch::Dispatcher;
 use crate::failure::Failure;
 use crate::ingress::{Answer, forwarded_headers};
-use crate::listener::{ConnectionLimits, Handler};
+use crate::listener::{ConnectionLimits, Handler, InboundBody};
 
 /// Time that a caller waits if neither it nor the route says how long, in milliseconds.
 const DEFAULT_TIMEOUT_MS: u64 = 30_000;
@@ -99,7 +98,7 @@
 impl<D: Dialect> CallerHandler<D> {
     async fn answer(
         &self,
-        request: Request<Incoming>,
+        request: Request<InboundBody>,
         facts: &RequestFacts,
         remote: SocketAddr,
     ) -> Result<Answer, Failure> {
@@ -180,7 +179,11 @@
 }
 
 impl<D: Dialect> Handler for CallerHandler<D> {
-    async fn handle(&self, request: Request<Incoming>, remote: SocketAddr) -> Response<AnswerBody> {
+    async fn handle(
+        &self,
+        request: Request<InboundBody>,
+        remote: SocketAddr,
+    ) -> Response<AnswerBody> {
         let dispatcher = &self.dispatcher;
         dispatcher.metrics.requests.inc();
         let started_us = dispatcher.clock.now_us();
@@ -188,7 +191,7 @@
         let result = self.answer(request, &facts, remote).await;
         let elapsed_us = dispatcher.clock.now_us().saturating_sub(started_us);
         dispatcher.metrics.latency.observe(elapsed_us as f64 / policy::US_PER_S as f64);
-        let mut response = match result {
+        match result {
             Ok(answer) => {
                 dispatcher.metrics.answered.inc();
                 let mut response = Response::new(answer.body);
@@ -204,20 +207,19 @@
                 self.log_failure(&facts, &failure, elapsed_us);
                 self.failure_response(&facts, &failure)
             }
-        };
-        if dispatcher.ingress.is_stopping() {
-            response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
-        response
+    }
+
+    fn is_stopping(&self) -> bool {
+        self.dispatcher.ingress.is_stopping()
     }
 
     fn connection_limits(&self) -> ConnectionLimits {
         let limits = self.configuration.load().map(|in_force| in_force.configuration.limits());
         let limits = limits.unwrap_or_default();
-        // The library has one timer for the idle time and the time of the head.
-        let head_timeout_ms = limits.idle_timeout_ms.max(limits.header_timeout_ms);
         ConnectionLimits {
-            head_timeout: Duration::from_millis(head_timeout_ms),
+            head_timeout: Duration::from_millis(limits.header_timeout_ms),
+            idle_timeout: Duration::from_millis(limits.idle_timeout_ms),
             max_head_bytes: usize::try_from(limits.max_header_bytes).unwrap_or(usize::MAX),
         }
     }
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -9,6 +9,7 @@
 mod body;
 mod call;
 mod caller;
+mod connection;
 mod dialect;
 mod dispatch;
 mod endpoints;
--- a/crates/mesh/src/listener.rs
+++ b/crates/mesh/src/listener.rs
@@ -1,40 +1,47 @@
 //! HTTP/1.1 listeners with an orderly end.
 
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
-use hyper_util::server::graceful::GracefulShutdown;
-use slog::{Logger, debug, warn};
-use tokio::net::{TcpListener, TcpStream};
+use hyper_util::rt::TokioTimer;
+use slog::{Logger, warn};
+use tokio::net::TcpListener;
 use tokio::sync::watch;
+use tokio::task::JoinSet;
 
 use crate::body::AnswerBody;
+use crate::connection;
 use crate::links;
 
 /// Pause after a failed accept, as when descriptors are short.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Smallest read buffer that the HTTP library takes, in bytes.
-const MIN_BUFFER_BYTES: usize = 8 * 1024;
+pub(crate) const MIN_BUFFER_BYTES: usize = 8 * 1024;
 /// Most headers of a request.
 const MAX_HEADERS: usize = 100;
 
+/// Body of a request; absent if the request has none for certain.
+pub(crate) type InboundBody = Option<Incoming>;
+
 /// Answers the requests of one listener.
 pub(crate) trait Handler: Send + Sync + 'static {
     /// Answers a request. Dropping the future cancels the work.
     fn handle(
         &self,
-        request: Request<Incoming>,
+        request: Request<InboundBody>,
         remote: SocketAddr,
     ) -> impl Future<Output = Response<AnswerBody>> + Send;
 
-    /// Returns what connections that are opened now may do.
+    /// Returns whether connections end after the answer at hand.
+    fn is_stopping(&self) -> bool {
+        false
+    }
+
+    /// Returns what connections may do now.
     fn connection_limits(&self) -> ConnectionLimits {
         ConnectionLimits::default()
     }
@@ -43,8 +50,10 @@
 /// What a connection may do.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct ConnectionLimits {
-    /// Longest wait for the head of the next request.
+    /// Longest time for a head to arrive.
     pub(crate) head_timeout: Duration,
+    /// Longest time without a request.
+    pub(crate) idle_timeout: Duration,
     /// Largest head, in bytes.
     pub(crate) max_head_bytes: usize,
 }
@@ -52,7 +61,11 @@
 impl Default for ConnectionLimits {
     /// Limits between programs of the system, which keep connections open.
     fn default() -> Self {
-        Self { head_timeout: Duration::from_secs(60), max_head_bytes: 64 * 1024 }
+        Self {
+            head_timeout: Duration::from_secs(10),
+            idle_timeout: Duration::from_secs(60),
+            max_head_bytes: 64 * 1024,
+        }
     }
 }
 
@@ -63,7 +76,7 @@
     handler: Arc<impl Handler>,
     mut stop: watch::Receiver<bool>,
 ) {
-    let graceful = GracefulShutdown::new();
+    let mut connections = JoinSet::new();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -71,7 +84,16 @@
         };
         match accepted {
             Ok((stream, remote)) => {
-                spawn_connection(&log, stream, remote, Arc::clone(&handler), &graceful);
+                links::set_socket_options(&stream);
+                let handler = Arc::clone(&handler);
+                connections.spawn(connection::serve(
+                    log.clone(),
+                    stream,
+                    remote,
+                    handler,
+                    stop.clone(),
+                ));
+                while connections.try_join_next().is_some() {}
             }
             Err(error) => {
                 warn!(log, "accept-failed"; "error" => %error);
@@ -80,34 +102,25 @@
         }
     }
     drop(listener);
-    graceful.shutdown().await;
+    while connections.join_next().await.is_some() {}
 }
 
-fn spawn_connection(
-    log: &Logger,
-    stream: TcpStream,
-    remote: SocketAddr,
-    handler: Arc<impl Handler>,
-    graceful: &GracefulShutdown,
-) {
-    links::set_socket_options(&stream);
-    let limits = handler.connection_limits();
-    let service = service_fn(move |request| {
-        let handler = Arc::clone(&handler);
-        async move { Ok::<_, Infallible>(handler.handle(request, remote).await) }
-    });
-    let connection = http1::Builder::new()
+/// Returns the library's settings for a connection. Its own timer for heads stays off, since it does
+/// not tell a slow head from an idle connection.
+pub(crate) fn builder(max_head_bytes: usize) -> http1::Builder {
+    let mut builder = http1::Builder::new();
+    builder
         .timer(TokioTimer::new())
-        .header_read_timeout(limits.head_timeout)
-        .max_buf_size(limits.max_head_bytes.max(MIN_BUFFER_BYTES))
+        .header_read_timeout(None)
+        .max_buf_size(max_head_bytes.max(MIN_BUFFER_BYTES))
         .max_headers(MAX_HEADERS)
-        .pipeline_flush(true)
-        .serve_connection(TokioIo::new(stream), service);
-    let watched = graceful.watch(connection);
-    let log = log.clone();
-    tokio::spawn(async move {
-        if let Err(error) = watched.await {
-            debug!(log, "connection-ended"; "error" => %error);
-        }
-    });
+        .pipeline_flush(true);
+    builder
+}
+
+/// Makes an answer without a body.
+pub(crate) fn status_only(status: StatusCode) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::default());
+    *response.status_mut() = status;
+    response
 }
--- a/crates/mesh/src/peer.rs
+++ b/crates/mesh/src/peer.rs
@@ -7,7 +7,6 @@
 use daemon::Clock;
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode};
 use http_body::Body;
-use hyper::body::Incoming;
 use model::{Outcome, Reason, Repeatability, ServiceName, headers};
 use policy::placement::PlacementLoad;
 use policy::slots::Standing;
@@ -19,7 +18,7 @@
 use crate::failure::Failure;
 use crate::ingress::{Answer, Ingress, NodeLoad, forwarded_headers};
 use crate::links::{LinkError, Links, Reuse};
-use crate::listener::Handler;
+use crate::listener::{Handler, InboundBody};
 
 /// Version of the headers below; nodes refuse calls of another version.
 const VERSION: &str = "1";
@@ -106,7 +105,7 @@
         Self { clock, ingress }
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Result<Answer, Failure> {
+    async fn answer(&self, request: Request<InboundBody>) -> Result<Answer, Failure> {
         let (parts, incoming) = request.into_parts();
         let head = decode_call(self.clock, parts, &*self.ingress);
         let head = head.map_err(|error| {
@@ -124,7 +123,7 @@
 impl<D: Dialect> Handler for PeerHandler<D> {
     async fn handle(
         &self,
-        request: Request<Incoming>,
+        request: Request<InboundBody>,
         _remote: SocketAddr,
     ) -> Response<AnswerBody> {
         let result = self.answer(request).await;
--- a/crates/mesh/src/upstream_listener.rs
+++ b/crates/mesh/src/upstream_listener.rs
@@ -4,15 +4,14 @@
 use std::sync::Arc;
 
 use http::{HeaderValue, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
+use http_body_util::{BodyExt, Collected, Limited};
 use slog::{Logger, warn};
 
 use crate::body::AnswerBody;
 use crate::caller::ConfigurationHolder;
 use crate::dialect::{Dialect, UpstreamCall};
 use crate::ingress::Ingress;
-use crate::listener::Handler;
+use crate::listener::{Handler, InboundBody, status_only};
 use crate::metrics::Metrics;
 
 /// Largest report of an upstream, in bytes; a few hundred are usual.
@@ -26,14 +25,21 @@
 }
 
 impl<D: Dialect> Handler for UpstreamHandler<D> {
-    async fn handle(&self, request: Request<Incoming>, remote: SocketAddr) -> Response<AnswerBody> {
+    async fn handle(
+        &self,
+        request: Request<InboundBody>,
+        remote: SocketAddr,
+    ) -> Response<AnswerBody> {
         let (parts, incoming) = request.into_parts();
-        let Ok(body) = Limited::new(incoming, MAX_REPORT_BYTES).collect().await else {
+        let body = match incoming {
+            Some(incoming) => Limited::new(incoming, MAX_REPORT_BYTES).collect().await,
+            None => Ok(Collected::default()),
+        };
+        let Ok(body) = body.map(Collected::to_bytes) else {
             warn!(self.log, "report-unreadable"; "remote" => %remote);
             return status_only(StatusCode::BAD_REQUEST);
         };
-        let call =
-            self.dialect.read_upstream_call(&parts.method, parts.uri.path(), &body.to_bytes());
+        let call = self.dialect.read_upstream_call(&parts.method, parts.uri.path(), &body);
         match call {
             Ok(UpstreamCall::Report(report)) => self.ingress.record(report),
             Ok(UpstreamCall::Leave(instance_id)) => self.ingress.leave(&instance_id),
@@ -60,7 +66,7 @@
 impl<D: Dialect> Handler for ReadyHandler<D> {
     async fn handle(
         &self,
-        request: Request<Incoming>,
+        request: Request<InboundBody>,
         _remote: SocketAddr,
     ) -> Response<AnswerBody> {
         if !self.dialect.is_readiness_probe(request.method(), request.uri().path()) {
@@ -79,7 +85,7 @@
 impl Handler for MetricsHandler {
     async fn handle(
         &self,
-        request: Request<Incoming>,
+        request: Request<InboundBody>,
         _remote: SocketAddr,
     ) -> Response<AnswerBody> {
         if request.uri().path() != "/metrics" {
@@ -88,9 +94,3 @@
         Response::new(AnswerBody::full(self.metrics.to_text()))
     }
 }
-
-fn status_only(status: StatusCode) -> Response<AnswerBody> {
-    let mut response = Response::new(AnswerBody::default());
-    *response.status_mut() = status;
-    response
-}
