Refuse at the entry by the pressure that answers report; keep unlisted VMs while they answer

Cause: a control replica that starts anew lists few VMs, and nodes dropped the rest (no-endpoint after all replicas lost power); overload of seires failed every request above it. Nodes learnt of a cut-off replica after 3 s, later than changes may take. Change: unlisted VMs are used 20 s more; contact age 0.9 s; pressure travels with answers; calls of the upstream are told from new requests by the id of their parent.

--- a/crates/control-link/src/lib.rs
+++ b/crates/control-link/src/lib.rs
@@ -20,10 +20,12 @@
 const PING_INTERVAL: Duration = Duration::from_secs(1);
 const PING_TIMEOUT: Duration = Duration::from_secs(1);
 const QUEUE_REPORTS: usize = 16;
-/// Silence after which a stream counts as lost; control sends at least once a second.
-const SILENCE_TIMEOUT: Duration = Duration::from_secs(3);
-/// Age of a replica's contact with its quorum from which another one is preferred.
-const MAX_CONTACT_AGE_MS: u64 = 3_000;
+/// Silence after which a stream counts as lost; control sends twice a second.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Age of a replica's contact with its quorum from which another one is preferred: above an election
+/// timeout (600 ms), and low enough that a node behind a cut-off replica learns of a change elsewhere
+/// within the 2 s in which changes come into force.
+const MAX_CONTACT_AGE_MS: u64 = 900;
 
 /// What the link needs of a node.
 pub trait AttachedNode {
--- a/crates/control/src/service/directory_service.rs
+++ b/crates/control/src/service/directory_service.rs
@@ -16,7 +16,8 @@
 use crate::profiles::ProfileTable;
 
 const QUEUE_UPDATES: usize = 16;
-const CONTACT_INTERVAL: Duration = Duration::from_secs(1);
+/// Pause between two messages that tell a node how long ago the replica heard from a quorum.
+const CONTACT_INTERVAL: Duration = Duration::from_millis(500);
 
 pub(super) struct DirectoryService {
     shared: Shared,
--- a/crates/mesh/src/attachment.rs
+++ b/crates/mesh/src/attachment.rs
@@ -19,15 +19,21 @@
 /// Replicas named by the settings, which may change while the node runs.
 pub(crate) type SharedControls = Arc<Mutex<Vec<SocketAddr>>>;
 
+/// What an attachment shares with the rest of the node.
+pub(crate) struct AttachmentParts<D> {
+    pub(crate) log: Logger,
+    pub(crate) clock: Clock,
+    pub(crate) settings: MeshSettings,
+    pub(crate) dialect: Arc<D>,
+    pub(crate) ingress: Arc<Ingress<D>>,
+    pub(crate) endpoints: Arc<Endpoints>,
+    pub(crate) configuration: Arc<ConfigurationHolder>,
+    pub(crate) controls: SharedControls,
+}
+
 /// The node as its control link sees it.
 pub(crate) struct Attachment<D> {
-    log: Logger,
-    settings: MeshSettings,
-    dialect: Arc<D>,
-    ingress: Arc<Ingress<D>>,
-    endpoints: Arc<Endpoints>,
-    configuration: Arc<ConfigurationHolder>,
-    controls: SharedControls,
+    parts: AttachmentParts<D>,
     /// Replicas that control itself named.
     learnt_controls: IndexSet<SocketAddr>,
     incarnation: u64,
@@ -35,35 +41,16 @@
 }
 
 impl<D: Dialect> Attachment<D> {
-    pub(crate) fn new(
-        log: Logger,
-        settings: MeshSettings,
-        dialect: Arc<D>,
-        ingress: Arc<Ingress<D>>,
-        endpoints: Arc<Endpoints>,
-        configuration: Arc<ConfigurationHolder>,
-        controls: SharedControls,
-    ) -> Self {
-        Self {
-            log,
-            settings,
-            dialect,
-            ingress,
-            endpoints,
-            configuration,
-            controls,
-            learnt_controls: IndexSet::new(),
-            incarnation: Clock::unix_us(),
-            sequence: 0,
-        }
+    pub(crate) fn new(parts: AttachmentParts<D>) -> Self {
+        Self { parts, learnt_controls: IndexSet::new(), incarnation: Clock::unix_us(), sequence: 0 }
     }
 
     fn take_configuration(&self, record: &rpc::ConfigurationRecord) -> bool {
-        match self.dialect.read_configuration(&record.text) {
-            Ok(configuration) => self.configuration.apply(configuration),
+        match self.parts.dialect.read_configuration(&record.text) {
+            Ok(configuration) => self.parts.configuration.apply(configuration),
             Err(fault) => {
                 // Control accepts only what can be read, so a program of another version wrote this.
-                error!(self.log, "configuration-unreadable"; "version" => record.version,
+                error!(self.parts.log, "configuration-unreadable"; "version" => record.version,
                     "error" => %fault);
                 false
             }
@@ -71,7 +58,7 @@
     }
 
     fn called_services(&self) -> Vec<String> {
-        let in_force = self.configuration.load();
+        let in_force = self.parts.configuration.load();
         let services = in_force.iter().flat_map(|in_force| in_force.configuration.services());
         services.map(ServiceName::to_string).collect()
     }
@@ -79,7 +66,7 @@
 
 impl<D: Dialect> AttachedNode for Attachment<D> {
     fn controls(&self) -> Vec<SocketAddr> {
-        let named = self.controls.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let named = self.parts.controls.lock().unwrap_or_else(PoisonError::into_inner).clone();
         let all: IndexSet<_> = named.into_iter().chain(self.learnt_controls.clone()).collect();
         all.into_iter().collect()
     }
@@ -88,7 +75,7 @@
         let learnt = update.replica_addresses.iter().filter_map(|text| match text.parse() {
             Ok(address) => Some(address),
             Err(_) => {
-                warn!(self.log, "replica-ignored"; "address" => text.clone());
+                warn!(self.parts.log, "replica-ignored"; "address" => text.clone());
                 None
             }
         });
@@ -96,43 +83,45 @@
         if !learnt.is_empty() {
             self.learnt_controls = learnt;
         }
-        let own = self.settings.vm.name.as_str();
+        let own = self.parts.settings.vm.name.as_str();
+        let now_us = self.parts.clock.now_us();
+        self.parts.endpoints.expire(now_us);
         if update.is_full {
-            self.endpoints.retain(&self.settings.vm.name, &update.endpoints);
+            self.parts.endpoints.retain(now_us, &self.parts.settings.vm.name, &update.endpoints);
         }
         for vm in update.removed_vms.iter().filter(|vm| *vm != own) {
-            self.endpoints.remove(vm);
+            self.parts.endpoints.unlist(now_us, vm);
         }
         for endpoint in update.endpoints.iter().filter(|endpoint| endpoint.vm != own) {
-            self.endpoints.upsert(endpoint);
+            self.parts.endpoints.upsert(endpoint);
         }
         update.configuration.is_some_and(|record| self.take_configuration(&record))
     }
 
     fn report(&mut self) -> NodeReport {
         self.sequence += 1;
-        let vm = &self.settings.vm;
-        let service = self.ingress.upstreams.service();
+        let vm = &self.parts.settings.vm;
+        let service = self.parts.ingress.upstreams.service();
         let endpoint = service.map(|service| rpc::Endpoint {
             vm: vm.name.to_string(),
             data_centre: vm.data_centre.to_string(),
             service: service.to_string(),
             profile: String::new(),
-            peer_address: self.settings.peer_listen.to_string(),
-            slots: self.ingress.upstreams.slots(),
-            is_leaving: self.ingress.is_leaving(),
+            peer_address: self.parts.settings.peer_listen.to_string(),
+            slots: self.parts.ingress.upstreams.slots(),
+            is_leaving: self.parts.ingress.is_leaving(),
             incarnation: self.incarnation,
             sequence: self.sequence,
         });
         NodeReport {
             protocol_version: rpc::PROTOCOL_VERSION,
-            cluster_id: self.settings.cluster_id.clone(),
+            cluster_id: self.parts.settings.cluster_id.clone(),
             vm: vm.name.to_string(),
             data_centre: vm.data_centre.to_string(),
             profile_revision: u64::MAX,
             endpoint,
             called_services: self.called_services(),
-            configuration_version: self.configuration.version(),
+            configuration_version: self.parts.configuration.version(),
         }
     }
 }
--- a/crates/mesh/src/caller.rs
+++ b/crates/mesh/src/caller.rs
@@ -1,8 +1,9 @@
 //! Requests of callers and of the upstream beside the node.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
@@ -10,8 +11,9 @@
 use indexmap::IndexMap;
 use model::{Configuration, HostRoute, Outcome, Reason, ServiceName};
 use policy::US_PER_MS;
+use policy::pressure::EntryThrottle;
 use policy::retry_after;
-use policy::slots::Standing;
+use policy::slots::{KindKey, Standing};
 use policy::split::WeightedSplit;
 use slog::{Logger, info};
 
@@ -91,6 +93,8 @@
     pub(crate) dialect: Arc<D>,
     pub(crate) dispatcher: Arc<Dispatcher<D>>,
     pub(crate) configuration: Arc<ConfigurationHolder>,
+    /// Throttles by kind of route, kept over changes of the configuration.
+    pub(crate) throttles: Mutex<IndexMap<KindKey, EntryThrottle>>,
     /// Service named in the settings, until the upstream has reported itself.
     pub(crate) service: ServiceName,
 }
@@ -121,7 +125,11 @@
         let service =
             in_force.target(route).ok_or_else(|| Failure::not_run(Reason::UnknownRoute))?;
         let upstreams = &self.dispatcher.ingress.upstreams;
-        let standing = match upstreams.is_at(remote.ip()) {
+        let is_call = facts
+            .request_id
+            .as_ref()
+            .is_some_and(|id| self.dispatcher.ingress.is_call_of_upstream(id));
+        let standing = match is_call {
             true => Standing::Begun,
             false => Standing::Entry(route.rank),
         };
@@ -146,7 +154,71 @@
                 BodyError::Transport(_) => Reason::TruncatedRequest,
             })
         })?;
-        self.dispatcher.run(head, body, route.max_attempts).await
+        match head.standing {
+            Standing::Begun => self.run_begun(head, body, route).await,
+            Standing::Entry(rank) => self.run_entry(head, body, route, rank, remote).await,
+        }
+    }
+
+    /// Runs a call of the upstream and notes how it fared.
+    async fn run_begun(
+        &self,
+        head: CallHead,
+        body: CallBody,
+        route: &HostRoute,
+    ) -> Result<Answer, Failure> {
+        let service = head.service.clone();
+        let result = self.dispatcher.run(head, body, route.max_attempts).await;
+        let is_refused = result.as_ref().is_err_and(|failure| failure.outcome == Outcome::NotRun);
+        let now_us = self.dispatcher.clock.now_us();
+        let pressure = match is_refused {
+            true => 1.0,
+            false => self.dispatcher.endpoints.pressure(now_us, &service),
+        };
+        self.dispatcher.ingress.record_call(pressure);
+        result
+    }
+
+    /// Runs a new request unless too many of its kind fail deeper down.
+    async fn run_entry(
+        &self,
+        head: CallHead,
+        body: CallBody,
+        route: &HostRoute,
+        rank: u32,
+        remote: SocketAddr,
+    ) -> Result<Answer, Failure> {
+        let kind = head.kind;
+        let caller = caller_digest(&head, remote);
+        let now_us = self.dispatcher.clock.now_us();
+        let pressure = self.dispatcher.endpoints.pressure(now_us, &head.service);
+        let share = {
+            let mut throttles = self.throttles();
+            let throttle = throttles.entry(kind).or_default();
+            let is_admitted = throttle.admits(now_us, pressure, rank, caller, rand::random());
+            if is_admitted { None } else { Some(throttle.share()) }
+        };
+        if let Some(share) = share {
+            let wait = retry_after::throttle_wait(share);
+            self.throttles().entry(kind).or_default().expect_return(
+                now_us,
+                caller,
+                wait.as_micros() as u64,
+            );
+            return Err(Failure::not_run(Reason::ShedByLevel).with_wait(wait));
+        }
+        let result = self.dispatcher.run(head, body, route.max_attempts).await;
+        let has_failed = match &result {
+            Ok(answer) => answer.status.is_server_error(),
+            Err(failure) => failure.outcome == Outcome::Unknown,
+        };
+        let now_us = self.dispatcher.clock.now_us();
+        self.throttles().entry(kind).or_default().record_end(now_us, has_failed);
+        result
+    }
+
+    fn throttles(&self) -> MutexGuard<'_, IndexMap<KindKey, EntryThrottle>> {
+        self.throttles.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn log_failure(&self, facts: &RequestFacts, failure: &Failure, elapsed_us: u64) {
@@ -225,6 +297,15 @@
     }
 }
 
+/// Returns a digest by which a caller that comes back with the same request is known.
+fn caller_digest(head: &CallHead, remote: SocketAddr) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    remote.ip().hash(&mut hasher);
+    head.method.hash(&mut hasher);
+    head.uri.hash(&mut hasher);
+    hasher.finish()
+}
+
 /// Finds a route by the host as sent, then without its port.
 fn find_route<'a>(
     configuration: &'a Configuration,
--- a/crates/mesh/src/dialect.rs
+++ b/crates/mesh/src/dialect.rs
@@ -111,6 +111,10 @@
     /// Reads what a request says of itself.
     fn read_request(&self, headers: &HeaderMap) -> RequestFacts;
 
+    /// Returns the id of the request that an upstream was running when it made a call, where the id of
+    /// the call tells.
+    fn parent_id<'a>(&self, request_id: &'a HeaderValue) -> Option<&'a [u8]>;
+
     /// Sets the headers that an upstream expects.
     fn write_dispatch(&self, headers: &mut HeaderMap, facts: &DispatchFacts<'_>);
 
--- a/crates/mesh/src/endpoints.rs
+++ b/crates/mesh/src/endpoints.rs
@@ -5,7 +5,9 @@
 
 use indexmap::{IndexMap, IndexSet};
 use model::{DataCentreName, ServiceName, Vm, VmName};
+use policy::US_PER_S;
 use policy::placement::{Placement, PlacementResult};
+use policy::pressure::FadingShare;
 use policy::repeats::{RepeatBounds, RepeatBudget};
 use slog::{Logger, info, warn};
 
@@ -18,10 +20,17 @@
     pub(crate) address: SocketAddr,
 }
 
+/// Time for which a VM that control no longer lists is still used while it answers, in microseconds.
+/// A control replica that starts anew lists VMs only as they report, and a VM that is cut off from
+/// control may well be in reach of this node.
+const UNLISTED_US: u64 = 20 * US_PER_S;
+
 #[derive(Debug)]
 struct Peer {
     address: SocketAddr,
     incarnation: u64,
+    /// Since when control no longer lists the VM, in microseconds.
+    unlisted_since_us: Option<u64>,
 }
 
 #[derive(Debug)]
@@ -29,6 +38,8 @@
     placement: Placement,
     peers: IndexMap<VmName, Peer>,
     budget: Option<RepeatBudget>,
+    /// Pressure that the VMs reported with their answers.
+    pressure: FadingShare,
 }
 
 #[derive(Debug, Default)]
@@ -70,7 +81,9 @@
         let Some(service) = service else { return };
         let endpoints = table.service(service, &self.own_data_centre);
         endpoints.placement.upsert(&vm.name, &vm.data_centre, is_leaving);
-        endpoints.peers.insert(vm.name.clone(), Peer { address, incarnation: 0 });
+        endpoints
+            .peers
+            .insert(vm.name.clone(), Peer { address, incarnation: 0, unlisted_since_us: None });
     }
 
     /// Takes an endpoint as control knows it into account.
@@ -92,33 +105,53 @@
         table.vms.insert(vm.clone());
         let endpoints = table.service(&service, &self.own_data_centre);
         endpoints.placement.upsert(&vm, &data_centre, endpoint.is_leaving);
-        let peer = Peer { address, incarnation: endpoint.incarnation };
+        let peer = Peer { address, incarnation: endpoint.incarnation, unlisted_since_us: None };
         let known = endpoints.peers.insert(vm.clone(), peer);
         if known.is_some_and(|known| known.incarnation != endpoint.incarnation) {
             endpoints.placement.restart(&vm);
         }
     }
 
-    /// Removes a VM that control no longer lists.
-    pub(crate) fn remove(&self, vm: &str) {
-        let Ok(vm) = VmName::new(vm) else { return };
-        info!(self.log, "endpoint-removed"; "vm" => %vm);
+    /// Notes that control no longer lists a VM.
+    pub(crate) fn unlist(&self, now_us: u64, vm: &str) {
+        info!(self.log, "endpoint-unlisted"; "vm" => vm.to_owned());
         let mut table = self.lock();
-        table.vms.shift_remove(&vm);
-        for endpoints in table.services.values_mut() {
-            endpoints.placement.remove(&vm);
-            endpoints.peers.shift_remove(&vm);
+        let peers = table.services.values_mut().flat_map(|endpoints| &mut endpoints.peers);
+        for (_, peer) in peers.filter(|(name, _)| name.as_str() == vm) {
+            peer.unlisted_since_us.get_or_insert(now_us);
         }
     }
 
-    /// Removes every VM but the own one and the listed ones.
-    pub(crate) fn retain(&self, own: &VmName, listed: &[rpc::Endpoint]) {
+    /// Unlists every VM but the own one and the listed ones.
+    pub(crate) fn retain(&self, now_us: u64, own: &VmName, listed: &[rpc::Endpoint]) {
         let known: Vec<VmName> = self.lock().vms.iter().cloned().collect();
         for vm in known {
             if vm != *own && !listed.iter().any(|endpoint| endpoint.vm == vm.as_str()) {
-                self.remove(vm.as_str());
+                self.unlist(now_us, vm.as_str());
+            }
+        }
+    }
+
+    /// Removes VMs that control has not listed for long.
+    pub(crate) fn expire(&self, now_us: u64) {
+        let mut table = self.lock();
+        let is_expired = |peer: &Peer| {
+            peer.unlisted_since_us.is_some_and(|since| now_us.saturating_sub(since) > UNLISTED_US)
+        };
+        let mut expired = IndexSet::new();
+        for endpoints in table.services.values_mut() {
+            let gone = endpoints.peers.iter().filter(|(_, peer)| is_expired(peer));
+            let gone: Vec<VmName> = gone.map(|(vm, _)| vm.clone()).collect();
+            for vm in gone {
+                endpoints.placement.remove(&vm);
+                endpoints.peers.shift_remove(&vm);
+                expired.insert(vm);
             }
         }
+        for vm in expired {
+            info!(self.log, "endpoint-removed"; "vm" => %vm);
+            table.vms.shift_remove(&vm);
+        }
     }
 
     /// Chooses a VM for a call and counts the call against it.
@@ -154,9 +187,16 @@
         endpoints.placement.finish(now_us, vm, result);
         if let Some(load) = load {
             endpoints.placement.report(vm, load.placement);
+            endpoints.pressure.record(now_us, f64::from(load.pressure_permille) / 1_000.0);
         }
     }
 
+    /// Returns the chance that a request to a service fails for want of room.
+    pub(crate) fn pressure(&self, now_us: u64, service: &ServiceName) -> f64 {
+        let table = self.lock();
+        table.services.get(service).map_or(0.0, |endpoints| endpoints.pressure.value(now_us))
+    }
+
     /// Takes back an attempt that its caller abandoned.
     pub(crate) fn cancel(&self, service: &ServiceName, vm: &VmName) {
         if let Some(endpoints) = self.lock().services.get_mut(service) {
@@ -206,6 +246,7 @@
             placement: Placement::new(own_data_centre.clone()),
             peers: IndexMap::new(),
             budget: None,
+            pressure: FadingShare::default(),
         })
     }
 }
--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -1,7 +1,8 @@
 //! Guards the upstream beside the node: admission, then dispatch.
 
-use std::sync::Arc;
+use std::collections::HashSet;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use daemon::Clock;
@@ -10,7 +11,8 @@
 use hyper::body::Incoming;
 use model::{Reason, Repeatability, headers};
 use policy::placement::PlacementLoad;
-use policy::slots::Applicant;
+use policy::pressure::NodePressure;
+use policy::slots::{Applicant, Standing};
 use slog::{Logger, info, warn};
 
 use crate::body::{self, AnswerBody, CallBody, StreamGuard};
@@ -34,6 +36,8 @@
 pub(crate) struct NodeLoad {
     pub(crate) placement: PlacementLoad,
     pub(crate) is_leaving: bool,
+    /// Chance that a request handled there fails for want of room, in thousandths.
+    pub(crate) pressure_permille: u32,
 }
 
 /// Guard of the upstream beside the node.
@@ -45,6 +49,9 @@
     pub(crate) gate: Gate,
     pub(crate) upstreams: UpstreamRegistry,
     is_stopping: AtomicBool,
+    pressure: Mutex<NodePressure>,
+    /// Ids of the requests that the upstream is running.
+    running: Arc<RunningIds>,
     metrics: Arc<Metrics>,
 }
 
@@ -64,6 +71,8 @@
             gate: Gate::new(clock),
             upstreams: UpstreamRegistry::new(),
             is_stopping: AtomicBool::new(false),
+            pressure: Mutex::default(),
+            running: Arc::default(),
             metrics,
         }
     }
@@ -82,7 +91,23 @@
         let load = self.gate.load();
         let placement =
             PlacementLoad { in_flight: load.in_flight, queued: load.queued, limit: load.limit };
-        NodeLoad { placement, is_leaving: self.is_leaving() }
+        let pressure = self.pressure().value(self.clock.now_us());
+        let pressure_permille = (pressure * 1_000.0) as u32;
+        NodeLoad { placement, is_leaving: self.is_leaving(), pressure_permille }
+    }
+
+    /// Returns whether a request is a call that the upstream makes for one that it is running.
+    pub(crate) fn is_call_of_upstream(&self, request_id: &HeaderValue) -> bool {
+        self.dialect.parent_id(request_id).is_some_and(|parent| self.running.contains(parent))
+    }
+
+    /// Takes a call that the upstream made into account, with the pressure that it met.
+    pub(crate) fn record_call(&self, pressure: f64) {
+        self.pressure().record_call(self.clock.now_us(), pressure);
+    }
+
+    fn pressure(&self) -> MutexGuard<'_, NodePressure> {
+        self.pressure.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Returns whether other nodes should send their calls elsewhere.
@@ -130,7 +155,10 @@
             deadline_us: head.deadline_us,
             max_wait_us: head.max_wait_us,
         };
-        let permit = self.gate.admit(applicant).await.map_err(|wait| {
+        let offered_us = self.clock.now_us();
+        let admitted = self.gate.admit(applicant).await;
+        self.record_admission(head.standing, offered_us, admitted.is_ok());
+        let permit = admitted.map_err(|wait| {
             self.metrics.refused.inc();
             Failure::not_run(Reason::Overloaded).with_wait(wait)
         })?;
@@ -145,6 +173,19 @@
         }
     }
 
+    fn record_admission(&self, standing: Standing, offered_us: u64, is_admitted: bool) {
+        let now_us = self.clock.now_us();
+        let mut pressure = self.pressure();
+        match (standing, is_admitted) {
+            (Standing::Begun, true) => pressure.record_wait(now_us, now_us - offered_us),
+            (Standing::Begun, false) => pressure.record_refusal(now_us),
+            (Standing::Entry(_), _) => {}
+        }
+        if is_admitted {
+            pressure.record_run(now_us);
+        }
+    }
+
     fn serving(&self, head: &CallHead) -> Result<ServingUpstream, Failure> {
         let upstream = self.upstreams.serving();
         let upstream = upstream.filter(|upstream| upstream.service == head.service);
@@ -180,6 +221,7 @@
             Repeatability::AtMostOnce => Reuse::JustUsed,
         };
         self.metrics.dispatched.inc();
+        let _running = RunningIds::enter(&self.running, head.request_id.as_ref());
         let (response, lease) = self.links.send(upstream.address, request, reuse).await.map_err(
             |error| match error {
                 LinkError::NotSent(_) => {
@@ -226,6 +268,43 @@
     }
 }
 
+/// Ids of the requests that the upstream is running.
+#[derive(Debug, Default)]
+struct RunningIds {
+    ids: Mutex<HashSet<HeaderValue>>,
+}
+
+impl RunningIds {
+    /// Enters an id until the guard is dropped.
+    fn enter(ids: &Arc<Self>, id: Option<&HeaderValue>) -> RunningGuard {
+        if let Some(id) = id {
+            ids.lock().insert(id.clone());
+        }
+        RunningGuard { ids: Arc::clone(ids), id: id.cloned() }
+    }
+
+    fn contains(&self, id: &[u8]) -> bool {
+        HeaderValue::from_bytes(id).is_ok_and(|id| self.lock().contains(&id))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashSet<HeaderValue>> {
+        self.ids.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+struct RunningGuard {
+    ids: Arc<RunningIds>,
+    id: Option<HeaderValue>,
+}
+
+impl Drop for RunningGuard {
+    fn drop(&mut self) {
+        if let Some(id) = &self.id {
+            self.ids.lock().remove(id);
+        }
+    }
+}
+
 /// Reads an answer as far as it is held; the rest streams.
 async fn take_answer(
     response: Response<Incoming>,
--- a/crates/mesh/src/peer.rs
+++ b/crates/mesh/src/peer.rs
@@ -211,15 +211,17 @@
 fn encode_load(load: NodeLoad) -> HeaderValue {
     let PlacementLoad { in_flight, queued, limit } = load.placement;
     let is_leaving = u8::from(load.is_leaving);
-    HeaderValue::try_from(format!("{in_flight} {queued} {limit} {is_leaving}"))
-        .unwrap_or(HeaderValue::from_static("0 0 1 0"))
+    let pressure_permille = load.pressure_permille;
+    let text = format!("{in_flight} {queued} {limit} {is_leaving} {pressure_permille}");
+    HeaderValue::try_from(text).unwrap_or(HeaderValue::from_static("0 0 1 0 0"))
 }
 
 fn decode_load(headers: &HeaderMap) -> Option<NodeLoad> {
     let mut fields = headers.get(LOAD)?.to_str().ok()?.split(' ');
     let mut number = || fields.next()?.parse::<u32>().ok();
     let placement = PlacementLoad { in_flight: number()?, queued: number()?, limit: number()? };
-    Some(NodeLoad { placement, is_leaving: number()? != 0 })
+    let is_leaving = number()? != 0;
+    Some(NodeLoad { placement, is_leaving, pressure_permille: number()? })
 }
 
 fn encode_failure(failure: &Failure) -> Response<AnswerBody> {
--- a/crates/mesh/src/server.rs
+++ b/crates/mesh/src/server.rs
@@ -13,7 +13,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
-use crate::attachment::{Attachment, SharedControls};
+use crate::attachment::{Attachment, AttachmentParts, SharedControls};
 use crate::caller::{CallerHandler, ConfigurationHolder};
 use crate::dialect::Dialect;
 use crate::dispatch::Dispatcher;
@@ -156,6 +156,7 @@
             dialect: Arc::clone(&self.dialect),
             dispatcher: Arc::clone(&self.dispatcher),
             configuration: Arc::clone(&self.configuration),
+            throttles: Mutex::default(),
             service: settings.service.clone(),
         };
         let peer_handler = PeerHandler::new(self.dispatcher.clock, Arc::clone(&self.ingress));
@@ -185,15 +186,16 @@
         controls: &SharedControls,
         stop: watch::Receiver<bool>,
     ) -> io::Result<JoinHandle<()>> {
-        let attachment = Attachment::new(
-            self.log.clone(),
-            self.settings.clone(),
-            Arc::clone(&self.dialect),
-            Arc::clone(&self.ingress),
-            Arc::clone(&self.endpoints),
-            Arc::clone(&self.configuration),
-            Arc::clone(controls),
-        );
+        let attachment = Attachment::new(AttachmentParts {
+            log: self.log.clone(),
+            clock: self.dispatcher.clock,
+            settings: self.settings.clone(),
+            dialect: Arc::clone(&self.dialect),
+            ingress: Arc::clone(&self.ingress),
+            endpoints: Arc::clone(&self.endpoints),
+            configuration: Arc::clone(&self.configuration),
+            controls: Arc::clone(controls),
+        });
         let announced = self.ingress.upstreams.changes();
         let link = ControlLink::new(self.log.clone(), attachment, announced, stop);
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
--- a/crates/mesh/src/upstream.rs
+++ b/crates/mesh/src/upstream.rs
@@ -1,6 +1,6 @@
 //! The upstream beside the node, as it reports itself.
 
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use model::ServiceName;
@@ -108,11 +108,6 @@
         self.lock().as_ref().map_or(0, |known| known.report.slots)
     }
 
-    /// Returns whether a call comes from the process.
-    pub(crate) fn is_at(&self, address: IpAddr) -> bool {
-        self.lock().as_ref().is_some_and(|known| known.report.address.ip() == address)
-    }
-
     /// Takes a report into account. A process that drains or left never serves again.
     pub(crate) fn record(&self, report: UpstreamReport) -> ReportEffect {
         let mut known = self.lock();
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod burn;
 pub mod limit;
 pub mod placement;
+pub mod pressure;
 pub mod quarantine;
 pub mod repeats;
 pub mod reserve;
--- /dev/null
+++ b/crates/policy/src/pressure.rs
@@ -0,0 +1,220 @@
+//! Overload of deep services, as the nodes above them learn of it.
+//!
+//! A refused call fails the whole request above it, after work was spent on every hop. So each node
+//! tells with its answers how likely a request handled there fails for want of room, at its own
+//! upstream or below. The figure travels up the call graph with the answers, and the node where a
+//! request enters refuses some before anything has run. Requests of a lower rank are refused at a lower
+//! pressure, so that more important ones pass.
+
+use indexmap::IndexMap;
+
+use crate::{US_PER_MS, US_PER_S};
+
+/// Memory of the shares below, in microseconds: several round trips through a call chain.
+const MEMORY_US: f64 = 400.0 * US_PER_MS as f64;
+/// Wait for a slot that a call of a begun request bears without harm, in microseconds. A chain makes
+/// several such calls in a row.
+const HARMLESS_WAIT_US: u64 = 20 * US_PER_MS;
+/// Wait at which such a call counts as lost, in microseconds: with a few in a row the request is late.
+const HARMFUL_WAIT_US: u64 = 200 * US_PER_MS;
+/// Pressure above which requests of the last rank are refused.
+const LAST_RANK_TARGET: f64 = 0.04;
+/// Pressure above which requests of the first rank are refused. Until then lesser ones make room.
+const FIRST_RANK_TARGET: f64 = 0.25;
+/// Share of a route's requests that fails without overload; below it a route is not throttled.
+const BASE_FAILURE_SHARE: f64 = 0.015;
+/// Pause between two steps of a throttle, in microseconds.
+const STEP_US: u64 = 100 * US_PER_MS;
+/// Largest cut of the admitted share in one step.
+const MAX_CUT: f64 = 0.12;
+/// Growth of the admitted share in one step.
+const GROWTH: f64 = 0.015;
+/// Smallest admitted share, so that no kind of request starves.
+const MIN_SHARE: f64 = 0.3;
+/// Time for which a caller that was told to come back is expected, in microseconds.
+const RETURN_TOLERANCE_US: u64 = US_PER_S;
+/// Most callers that are expected back.
+const MAX_RETURNS: usize = 4_096;
+
+/// Exponentially fading mean of samples.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct FadingShare {
+    sum: f64,
+    weight: f64,
+    updated_us: u64,
+}
+
+impl FadingShare {
+    /// Takes a sample into account.
+    pub fn record(&mut self, now_us: u64, sample: f64) {
+        let kept = self.kept(now_us);
+        self.sum = self.sum * kept + sample;
+        self.weight = self.weight * kept + 1.0;
+        self.updated_us = now_us;
+    }
+
+    /// Returns the mean. It fades to zero without samples, as if a few harmless ones came in.
+    pub fn value(&self, now_us: u64) -> f64 {
+        const HARMLESS_SAMPLES: f64 = 2.0;
+        let kept = self.kept(now_us);
+        self.sum * kept / (self.weight * kept + HARMLESS_SAMPLES)
+    }
+
+    fn kept(&self, now_us: u64) -> f64 {
+        (-(now_us.saturating_sub(self.updated_us) as f64) / MEMORY_US).exp()
+    }
+}
+
+/// Returns how far a wait for a slot harms the request above, from zero to one.
+pub fn harm_of_wait(wait_us: u64) -> f64 {
+    let excess_us = wait_us.saturating_sub(HARMLESS_WAIT_US) as f64;
+    (excess_us / (HARMFUL_WAIT_US - HARMLESS_WAIT_US) as f64).min(1.0)
+}
+
+/// Pressure at one node: of its own upstream and of what that upstream calls.
+#[derive(Debug, Default)]
+pub struct NodePressure {
+    /// Harm done to calls of begun requests by waiting here.
+    own: FadingShare,
+    /// Pressure met by the calls of the upstream.
+    below: FadingShare,
+    runs: FadingCount,
+    calls: FadingCount,
+}
+
+impl NodePressure {
+    /// Takes into account how long a call of a begun request waited here.
+    pub fn record_wait(&mut self, now_us: u64, wait_us: u64) {
+        self.own.record(now_us, harm_of_wait(wait_us));
+    }
+
+    /// Takes a refused call of a begun request into account.
+    pub fn record_refusal(&mut self, now_us: u64) {
+        self.own.record(now_us, 1.0);
+    }
+
+    /// Takes a run of the upstream into account.
+    pub fn record_run(&mut self, now_us: u64) {
+        self.runs.record(now_us);
+    }
+
+    /// Takes a call of the upstream into account: the pressure at its callee, one if it was refused.
+    pub fn record_call(&mut self, now_us: u64, pressure: f64) {
+        self.calls.record(now_us);
+        self.below.record(now_us, pressure);
+    }
+
+    /// Returns the chance that a request handled here fails for want of room.
+    pub fn value(&self, now_us: u64) -> f64 {
+        let runs = self.runs.value(now_us).max(1.0);
+        let calls_per_run = self.calls.value(now_us) / runs;
+        let passes_below = (1.0 - self.below.value(now_us)).powf(calls_per_run);
+        1.0 - (1.0 - self.own.value(now_us)) * passes_below
+    }
+}
+
+#[derive(Debug, Default)]
+struct FadingCount {
+    count: f64,
+    updated_us: u64,
+}
+
+impl FadingCount {
+    fn record(&mut self, now_us: u64) {
+        self.count = self.value(now_us) + 1.0;
+        self.updated_us = now_us;
+    }
+
+    fn value(&self, now_us: u64) -> f64 {
+        // Runs and calls of one request are some way apart, so the ratio needs a longer memory.
+        let memory_us = MEMORY_US * 4.0;
+        self.count * (-(now_us.saturating_sub(self.updated_us) as f64) / memory_us).exp()
+    }
+}
+
+/// Share of one route's new requests that a node admits.
+#[derive(Debug)]
+pub struct EntryThrottle {
+    share: f64,
+    stepped_us: u64,
+    failures: FadingShare,
+    returns: IndexMap<u64, u64>,
+}
+
+impl Default for EntryThrottle {
+    fn default() -> Self {
+        Self {
+            share: 1.0,
+            stepped_us: 0,
+            failures: FadingShare::default(),
+            returns: IndexMap::new(),
+        }
+    }
+}
+
+impl EntryThrottle {
+    /// Takes the end of a request into account that was admitted.
+    pub fn record_end(&mut self, now_us: u64, has_failed: bool) {
+        self.failures.record(now_us, if has_failed { 1.0 } else { 0.0 });
+    }
+
+    /// Returns whether a request is admitted.
+    ///
+    /// `pressure` is that of the route's service, `caller` a digest by which a caller that comes back
+    /// is known, `draw` uniform between zero and one.
+    pub fn admits(
+        &mut self,
+        now_us: u64,
+        pressure: f64,
+        rank: u32,
+        caller: u64,
+        draw: f64,
+    ) -> bool {
+        self.step(now_us, pressure, rank);
+        draw < self.share || self.take_return(now_us, caller)
+    }
+
+    /// Expects a refused caller back after a time.
+    pub fn expect_return(&mut self, now_us: u64, caller: u64, after_us: u64) {
+        if self.returns.len() >= MAX_RETURNS {
+            self.returns.shift_remove_index(0);
+        }
+        self.returns.insert(caller, now_us + after_us);
+    }
+
+    /// Returns the admitted share.
+    pub fn share(&self) -> f64 {
+        self.share
+    }
+
+    fn step(&mut self, now_us: u64, pressure: f64, rank: u32) {
+        if now_us.saturating_sub(self.stepped_us) < STEP_US {
+            return;
+        }
+        self.stepped_us = now_us;
+        let target = target_of(rank);
+        let is_failing = self.failures.value(now_us) > BASE_FAILURE_SHARE;
+        if pressure > target && is_failing {
+            let excess = (pressure - target) / (1.0 - target);
+            self.share *= 1.0 - MAX_CUT * excess.sqrt().min(1.0);
+        } else if pressure < target {
+            self.share += GROWTH;
+        }
+        self.share = self.share.clamp(MIN_SHARE, 1.0);
+    }
+
+    fn take_return(&mut self, now_us: u64, caller: u64) -> bool {
+        let Some(due_us) = self.returns.swap_remove(&caller) else { return false };
+        // An early return did not wait as told.
+        let earliest_us = due_us.saturating_sub(STEP_US);
+        (earliest_us..due_us + RETURN_TOLERANCE_US).contains(&now_us)
+    }
+}
+
+fn target_of(rank: u32) -> f64 {
+    match rank {
+        0 => FIRST_RANK_TARGET,
+        1 => (FIRST_RANK_TARGET + LAST_RANK_TARGET) / 2.0,
+        _ => LAST_RANK_TARGET,
+    }
+}
--- a/crates/policy/src/retry_after.rs
+++ b/crates/policy/src/retry_after.rs
@@ -33,3 +33,11 @@
     let draw = f64::from(random) / f64::from(u32::MAX);
     wait + wait.mul_f64(draw)
 }
+
+/// Wait advised to a request that is refused where it enters, by the share that is admitted.
+///
+/// The fewer are admitted, the longer room is lacking.
+pub fn throttle_wait(share: f64) -> Duration {
+    let wait = MESH_MIN.mul_f64(2.0 / share.max(0.1));
+    wait.min(MESH_MAX)
+}
