Order begun calls by their request; bound returns by the admitted share; steer gently

Cause: with calls served in order of arrival every request of an overloaded chain was late; refused callers passed the throttle when they came back; large steps overshot, since news of a cut takes a second to travel up. Ruled out: a leak of slots (counts at refusal were right), a service time learnt too high.

--- a/crates/mesh/src/call.rs
+++ b/crates/mesh/src/call.rs
@@ -19,6 +19,8 @@
     pub(crate) headers: HeaderMap,
     pub(crate) request_id: Option<HeaderValue>,
     pub(crate) standing: Standing,
+    /// Place of the whole request among those of its rank, the same on all hops.
+    pub(crate) order: u32,
     pub(crate) kind: KindKey,
     pub(crate) repeatability: Repeatability,
     /// When the answer is due, on this process's clock.
--- a/crates/mesh/src/caller.rs
+++ b/crates/mesh/src/caller.rs
@@ -22,7 +22,7 @@
 use crate::dialect::{Dialect, RequestFacts};
 use crate::dispatch::Dispatcher;
 use crate::failure::Failure;
-use crate::ingress::{Answer, forwarded_headers};
+use crate::ingress::{Answer, Lineage, forwarded_headers};
 use crate::listener::{ConnectionLimits, Handler, InboundBody};
 
 /// Time that a caller waits if neither it nor the route says how long, in milliseconds.
@@ -125,13 +125,11 @@
         let service =
             in_force.target(route).ok_or_else(|| Failure::not_run(Reason::UnknownRoute))?;
         let upstreams = &self.dispatcher.ingress.upstreams;
-        let is_call = facts
-            .request_id
-            .as_ref()
-            .is_some_and(|id| self.dispatcher.ingress.is_call_of_upstream(id));
-        let standing = match is_call {
-            true => Standing::Begun,
-            false => Standing::Entry(route.rank),
+        let ingress = &self.dispatcher.ingress;
+        let lineage = facts.request_id.as_ref().and_then(|id| ingress.lineage(id));
+        let (standing, order) = match lineage {
+            Some(Lineage { rank, order }) => (Standing::Begun(rank), order),
+            None => (Standing::Entry(route.rank), rand::random()),
         };
         let caller = upstreams.service().unwrap_or_else(|| self.service.clone());
         let head = CallHead {
@@ -142,6 +140,7 @@
             headers: forwarded_headers(parts.headers),
             request_id: facts.request_id.clone(),
             standing,
+            order,
             kind: call::kind_of(route),
             repeatability: route.repeatability,
             deadline_us: started_us + time_left(facts, route).as_micros() as u64,
@@ -155,7 +154,7 @@
             })
         })?;
         match head.standing {
-            Standing::Begun => self.run_begun(head, body, route).await,
+            Standing::Begun(_) => self.run_begun(head, body, route).await,
             Standing::Entry(rank) => self.run_entry(head, body, route, rank, remote).await,
         }
     }
@@ -192,14 +191,13 @@
         let caller = caller_digest(&head, remote);
         let now_us = self.dispatcher.clock.now_us();
         let pressure = self.dispatcher.endpoints.pressure(now_us, &head.service);
-        let share = {
+        let is_admitted = {
             let mut throttles = self.throttles();
             let throttle = throttles.entry(kind).or_default();
-            let is_admitted = throttle.admits(now_us, pressure, rank, caller, rand::random());
-            if is_admitted { None } else { Some(throttle.share()) }
+            throttle.admits(now_us, pressure, rank, caller)
         };
-        if let Some(share) = share {
-            let wait = retry_after::throttle_wait(share);
+        if !is_admitted {
+            let wait = retry_after::THROTTLE_WAIT;
             self.throttles().entry(kind).or_default().expect_return(
                 now_us,
                 caller,
@@ -327,7 +325,7 @@
 /// A begun request waits as long as it can still finish; a new one only while that costs it nothing.
 fn max_wait_us(standing: Standing, route: &HostRoute) -> u64 {
     match (standing, route.objective_ms) {
-        (Standing::Begun, _) => DEFAULT_TIMEOUT_MS * US_PER_MS,
+        (Standing::Begun(_), _) => DEFAULT_TIMEOUT_MS * US_PER_MS,
         (Standing::Entry(_), Some(objective_ms)) => objective_ms * US_PER_MS / MAX_WAIT_PART,
         (Standing::Entry(_), None) => DEFAULT_MAX_WAIT_MS * US_PER_MS,
     }
--- a/crates/mesh/src/dispatch.rs
+++ b/crates/mesh/src/dispatch.rs
@@ -114,7 +114,7 @@
             return true;
         }
         let cost = match head.standing {
-            Standing::Begun => BEGUN_REPEAT_COST,
+            Standing::Begun(_) => BEGUN_REPEAT_COST,
             Standing::Entry(_) => ENTRY_REPEAT_COST,
         };
         let is_paid = self.endpoints.withdraw_repeat(now_us, &head.service, self.repeats, cost);
--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -1,6 +1,6 @@
 //! Guards the upstream beside the node: admission, then dispatch.
 
-use std::collections::HashSet;
+use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -96,9 +96,10 @@
         NodeLoad { placement, is_leaving: self.is_leaving(), pressure_permille }
     }
 
-    /// Returns whether a request is a call that the upstream makes for one that it is running.
-    pub(crate) fn is_call_of_upstream(&self, request_id: &HeaderValue) -> bool {
-        self.dialect.parent_id(request_id).is_some_and(|parent| self.running.contains(parent))
+    /// Returns the rank and order of the request that the upstream makes a call for, if a request is
+    /// such a call.
+    pub(crate) fn lineage(&self, request_id: &HeaderValue) -> Option<Lineage> {
+        self.running.find(self.dialect.parent_id(request_id)?)
     }
 
     /// Takes a call that the upstream made into account, with the pressure that it met.
@@ -151,6 +152,7 @@
         let applicant = Applicant {
             ticket: 0,
             standing: head.standing,
+            order: head.order,
             kind: head.kind,
             deadline_us: head.deadline_us,
             max_wait_us: head.max_wait_us,
@@ -177,13 +179,10 @@
         let now_us = self.clock.now_us();
         let mut pressure = self.pressure();
         match (standing, is_admitted) {
-            (Standing::Begun, true) => pressure.record_wait(now_us, now_us - offered_us),
-            (Standing::Begun, false) => pressure.record_refusal(now_us),
+            (Standing::Begun(_), true) => pressure.record_wait(now_us, now_us - offered_us),
+            (Standing::Begun(_), false) => pressure.record_refusal(now_us),
             (Standing::Entry(_), _) => {}
         }
-        if is_admitted {
-            pressure.record_run(now_us);
-        }
     }
 
     fn serving(&self, head: &CallHead) -> Result<ServingUpstream, Failure> {
@@ -221,7 +220,8 @@
             Repeatability::AtMostOnce => Reuse::JustUsed,
         };
         self.metrics.dispatched.inc();
-        let _running = RunningIds::enter(&self.running, head.request_id.as_ref());
+        let lineage = Lineage { rank: head.standing.rank(), order: head.order };
+        let _running = RunningIds::enter(&self.running, head.request_id.as_ref(), lineage);
         let (response, lease) = self.links.send(upstream.address, request, reuse).await.map_err(
             |error| match error {
                 LinkError::NotSent(_) => {
@@ -268,26 +268,34 @@
     }
 }
 
+/// What a call inherits from the request that it is made for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Lineage {
+    pub(crate) rank: u32,
+    pub(crate) order: u32,
+}
+
 /// Ids of the requests that the upstream is running.
 #[derive(Debug, Default)]
 struct RunningIds {
-    ids: Mutex<HashSet<HeaderValue>>,
+    ids: Mutex<HashMap<HeaderValue, Lineage>>,
 }
 
 impl RunningIds {
     /// Enters an id until the guard is dropped.
-    fn enter(ids: &Arc<Self>, id: Option<&HeaderValue>) -> RunningGuard {
+    fn enter(ids: &Arc<Self>, id: Option<&HeaderValue>, lineage: Lineage) -> RunningGuard {
         if let Some(id) = id {
-            ids.lock().insert(id.clone());
+            ids.lock().insert(id.clone(), lineage);
         }
         RunningGuard { ids: Arc::clone(ids), id: id.cloned() }
     }
 
-    fn contains(&self, id: &[u8]) -> bool {
-        HeaderValue::from_bytes(id).is_ok_and(|id| self.lock().contains(&id))
+    fn find(&self, id: &[u8]) -> Option<Lineage> {
+        let id = HeaderValue::from_bytes(id).ok()?;
+        self.lock().get(&id).copied()
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashSet<HeaderValue>> {
+    fn lock(&self) -> MutexGuard<'_, HashMap<HeaderValue, Lineage>> {
         self.ids.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/mesh/src/peer.rs
+++ b/crates/mesh/src/peer.rs
@@ -23,7 +23,7 @@
 /// Version of the headers below; nodes refuse calls of another version.
 const VERSION: &str = "1";
 const SERVICE: HeaderName = HeaderName::from_static(headers::SERVICE);
-/// Version, kind, standing, time left, longest wait and repeatability of a call.
+/// Version, kind, whether begun, rank, order, time left, longest wait and repeatability of a call.
 const CALL: HeaderName = HeaderName::from_static("heatherweir-call");
 const CALLER: HeaderName = HeaderName::from_static("heatherweir-caller");
 const LOAD: HeaderName = HeaderName::from_static("heatherweir-load");
@@ -143,13 +143,13 @@
 
 fn encode_call(clock: Clock, head: &CallHead, body: CallBody) -> Option<Request<CallBody>> {
     let left_us = head.deadline_us.saturating_sub(clock.now_us());
-    let standing = match head.standing {
-        Standing::Begun => 0,
-        Standing::Entry(rank) => u64::from(rank) + 1,
-    };
+    let is_begun = u8::from(head.standing.is_begun());
+    let (rank, order) = (head.standing.rank(), head.order);
     let is_repeatable = u8::from(head.repeatability == Repeatability::Idempotent);
     let (kind, max_wait_us) = (head.kind, head.max_wait_us);
-    let call = format!("{VERSION} {kind} {standing} {left_us} {max_wait_us} {is_repeatable}");
+    let call = format!(
+        "{VERSION} {kind} {is_begun} {rank} {order} {left_us} {max_wait_us} {is_repeatable}"
+    );
     let mut request = Request::new(body);
     *request.method_mut() = head.method.clone();
     *request.uri_mut() = head.uri.clone();
@@ -181,10 +181,10 @@
         field.ok_or(CallError::Malformed)
     };
     let kind = number()?;
-    let standing = match number()? {
-        0 => Standing::Begun,
-        rank => Standing::Entry(u32::try_from(rank - 1).map_err(|_| CallError::Malformed)?),
-    };
+    let is_begun = number()? != 0;
+    let rank = u32::try_from(number()?).map_err(|_| CallError::Malformed)?;
+    let order = u32::try_from(number()?).map_err(|_| CallError::Malformed)?;
+    let standing = if is_begun { Standing::Begun(rank) } else { Standing::Entry(rank) };
     let left_us = number()?;
     let max_wait_us = number()?;
     let repeatability = match number()? {
@@ -201,6 +201,7 @@
         request_id,
         headers,
         standing,
+        order,
         kind,
         repeatability,
         deadline_us: clock.now_us().saturating_add(left_us),
--- a/crates/policy/src/pressure.rs
+++ b/crates/policy/src/pressure.rs
@@ -25,12 +25,17 @@
 const BASE_FAILURE_SHARE: f64 = 0.015;
 /// Pause between two steps of a throttle, in microseconds.
 const STEP_US: u64 = 100 * US_PER_MS;
-/// Largest cut of the admitted share in one step.
-const MAX_CUT: f64 = 0.12;
-/// Growth of the admitted share in one step.
-const GROWTH: f64 = 0.015;
+/// Cut of the admitted share in one step, for each unit of pressure above the target. News of a cut
+/// takes about a second to travel up a chain, so a step must stay small.
+const CUT_PER_PRESSURE: f64 = 0.3;
+/// Growth of the admitted share in one step without any pressure.
+const GROWTH: f64 = 0.025;
 /// Smallest admitted share, so that no kind of request starves.
-const MIN_SHARE: f64 = 0.3;
+const MIN_SHARE: f64 = 0.1;
+/// Requests that may be admitted in a row above the share.
+const MAX_CREDIT: f64 = 3.0;
+/// Callers that come back as told are admitted before others, on as much credit.
+const RETURN_CREDIT: f64 = 3.0;
 /// Time for which a caller that was told to come back is expected, in microseconds.
 const RETURN_TOLERANCE_US: u64 = US_PER_S;
 /// Most callers that are expected back.
@@ -78,8 +83,6 @@
     own: FadingShare,
     /// Pressure met by the calls of the upstream.
     below: FadingShare,
-    runs: FadingCount,
-    calls: FadingCount,
 }
 
 impl NodePressure {
@@ -93,42 +96,17 @@
         self.own.record(now_us, 1.0);
     }
 
-    /// Takes a run of the upstream into account.
-    pub fn record_run(&mut self, now_us: u64) {
-        self.runs.record(now_us);
-    }
-
     /// Takes a call of the upstream into account: the pressure at its callee, one if it was refused.
     pub fn record_call(&mut self, now_us: u64, pressure: f64) {
-        self.calls.record(now_us);
         self.below.record(now_us, pressure);
     }
 
     /// Returns the chance that a request handled here fails for want of room.
+    ///
+    /// Calls are refused by an order that their request has on all hops, so several calls of one request
+    /// share its fate and do not multiply the chance.
     pub fn value(&self, now_us: u64) -> f64 {
-        let runs = self.runs.value(now_us).max(1.0);
-        let calls_per_run = self.calls.value(now_us) / runs;
-        let passes_below = (1.0 - self.below.value(now_us)).powf(calls_per_run);
-        1.0 - (1.0 - self.own.value(now_us)) * passes_below
-    }
-}
-
-#[derive(Debug, Default)]
-struct FadingCount {
-    count: f64,
-    updated_us: u64,
-}
-
-impl FadingCount {
-    fn record(&mut self, now_us: u64) {
-        self.count = self.value(now_us) + 1.0;
-        self.updated_us = now_us;
-    }
-
-    fn value(&self, now_us: u64) -> f64 {
-        // Runs and calls of one request are some way apart, so the ratio needs a longer memory.
-        let memory_us = MEMORY_US * 4.0;
-        self.count * (-(now_us.saturating_sub(self.updated_us) as f64) / memory_us).exp()
+        1.0 - (1.0 - self.own.value(now_us)) * (1.0 - self.below.value(now_us))
     }
 }
 
@@ -136,6 +114,8 @@
 #[derive(Debug)]
 pub struct EntryThrottle {
     share: f64,
+    /// Admissions that the share still allows.
+    credit: f64,
     stepped_us: u64,
     failures: FadingShare,
     returns: IndexMap<u64, u64>,
@@ -145,6 +125,7 @@
     fn default() -> Self {
         Self {
             share: 1.0,
+            credit: MAX_CREDIT,
             stepped_us: 0,
             failures: FadingShare::default(),
             returns: IndexMap::new(),
@@ -161,17 +142,17 @@
     /// Returns whether a request is admitted.
     ///
     /// `pressure` is that of the route's service, `caller` a digest by which a caller that comes back
-    /// is known, `draw` uniform between zero and one.
-    pub fn admits(
-        &mut self,
-        now_us: u64,
-        pressure: f64,
-        rank: u32,
-        caller: u64,
-        draw: f64,
-    ) -> bool {
+    /// is known. Callers that come back as told go first; together with them no more than the share
+    /// is admitted.
+    pub fn admits(&mut self, now_us: u64, pressure: f64, rank: u32, caller: u64) -> bool {
         self.step(now_us, pressure, rank);
-        draw < self.share || self.take_return(now_us, caller)
+        self.credit = (self.credit + self.share).min(MAX_CREDIT);
+        let needed = if self.take_return(now_us, caller) { 1.0 - RETURN_CREDIT } else { 1.0 };
+        if self.credit < needed {
+            return false;
+        }
+        self.credit -= 1.0;
+        true
     }
 
     /// Expects a refused caller back after a time.
@@ -194,11 +175,10 @@
         self.stepped_us = now_us;
         let target = target_of(rank);
         let is_failing = self.failures.value(now_us) > BASE_FAILURE_SHARE;
-        if pressure > target && is_failing {
-            let excess = (pressure - target) / (1.0 - target);
-            self.share *= 1.0 - MAX_CUT * excess.sqrt().min(1.0);
-        } else if pressure < target {
-            self.share += GROWTH;
+        if pressure < target {
+            self.share += GROWTH * (1.0 - pressure / target);
+        } else if is_failing {
+            self.share *= 1.0 - CUT_PER_PRESSURE * (pressure - target);
         }
         self.share = self.share.clamp(MIN_SHARE, 1.0);
     }
--- a/crates/policy/src/retry_after.rs
+++ b/crates/policy/src/retry_after.rs
@@ -34,10 +34,8 @@
     wait + wait.mul_f64(draw)
 }
 
-/// Wait advised to a request that is refused where it enters, by the share that is admitted.
+/// Wait advised to a request that is refused where it enters.
 ///
-/// The fewer are admitted, the longer room is lacking.
-pub fn throttle_wait(share: f64) -> Duration {
-    let wait = MESH_MIN.mul_f64(2.0 / share.max(0.1));
-    wait.min(MESH_MAX)
-}
+/// Admission changes within a few hundred milliseconds, and a caller that comes back within its latency
+/// objective can still be served in time.
+pub const THROTTLE_WAIT: Duration = Duration::from_millis(300);
--- a/crates/policy/src/slots.rs
+++ b/crates/policy/src/slots.rs
@@ -4,6 +4,10 @@
 //! done for its whole request. New requests are ordered by rank. They share what the begun calls leave
 //! free, by Little's law, and never less than a floor, so that no kind of request starves. A call that
 //! cannot start in time is refused on arrival, while its caller can still go elsewhere.
+//!
+//! Waiting calls of begun requests go by the rank of their request, then by an order that the request
+//! has on all hops. A request needs several calls in a row; served in order of arrival, an overload
+//! would make every request late, while an order of their own lets the first ones finish whole.
 
 use std::collections::BTreeMap;
 
@@ -42,8 +46,8 @@
 /// Importance of a call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Standing {
-    /// The call belongs to a request that other upstreams are at work on.
-    Begun,
+    /// The call belongs to a request of a rank that other upstreams are at work on.
+    Begun(u32),
     /// The call is a new request of a rank; zero goes first.
     Entry(u32),
 }
@@ -55,6 +59,8 @@
     pub ticket: Ticket,
     /// Importance.
     pub standing: Standing,
+    /// Place of the request among those of its rank; lower goes first.
+    pub order: u32,
     /// Kind of the call.
     pub kind: KindKey,
     /// When the answer is due, in microseconds.
@@ -125,6 +131,13 @@
     pub limit: u32,
 }
 
+/// Place in a queue: by the order of the request, then by arrival.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Place {
+    order: u32,
+    ticket: Ticket,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Waiting {
     kind: KindKey,
@@ -171,7 +184,21 @@
     running_entry: u32,
     begun_demand: Demand,
     service_us: IndexMap<KindKey, f64>,
-    queues: BTreeMap<Standing, BTreeMap<Ticket, Waiting>>,
+    queues: BTreeMap<Standing, BTreeMap<Place, Waiting>>,
+}
+
+impl Standing {
+    /// Returns the rank of the whole request.
+    pub fn rank(self) -> u32 {
+        match self {
+            Standing::Begun(rank) | Standing::Entry(rank) => rank,
+        }
+    }
+
+    /// Returns whether the request has begun elsewhere.
+    pub fn is_begun(self) -> bool {
+        matches!(self, Standing::Begun(_))
+    }
 }
 
 impl Slots {
@@ -202,7 +229,7 @@
     pub fn offer(&mut self, now_us: u64, applicant: Applicant) -> (Decision, Vec<Event>) {
         let mut events = self.expire(now_us);
         let service_us = self.expected_service_us(applicant.kind);
-        if applicant.standing == Standing::Begun {
+        if applicant.standing.is_begun() {
             self.begun_demand.record(now_us, service_us);
         }
         self.grant(now_us, &mut events);
@@ -210,19 +237,25 @@
             self.start(applicant.standing);
             return (Decision::Admit, events);
         }
-        let wait_us = self.expected_wait_us(now_us, applicant.standing);
+        let place = Place { order: applicant.order, ticket: applicant.ticket };
+        let wait_us = self.expected_wait_us(now_us, applicant.standing, place);
         let waiting = Waiting {
             kind: applicant.kind,
             queued_us: now_us,
             deadline_us: applicant.deadline_us,
             max_wait_us: applicant.max_wait_us,
         };
-        let is_full = self.queued() >= self.limit_now(now_us) as usize * QUEUE_PER_LIMIT;
-        if is_full || self.latest_start_us(&waiting) < now_us + wait_us {
+        if self.latest_start_us(&waiting) < now_us + wait_us {
             return (Decision::Refuse { wait_us }, events);
         }
+        if self.queued() >= self.limit_now(now_us) as usize * QUEUE_PER_LIMIT {
+            match self.evict_behind(applicant.standing, place) {
+                Some(ticket) => events.push(Event::Refuse { ticket, wait_us }),
+                None => return (Decision::Refuse { wait_us }, events),
+            }
+        }
         let queue = self.queues.entry(applicant.standing).or_default();
-        queue.insert(applicant.ticket, waiting);
+        queue.insert(place, waiting);
         (Decision::Queue, events)
     }
 
@@ -240,7 +273,10 @@
 
     /// Removes a waiting call whose caller went away. Returns whether it was waiting.
     pub fn cancel(&mut self, ticket: Ticket) -> bool {
-        self.queues.values_mut().any(|queue| queue.remove(&ticket).is_some())
+        self.queues.values_mut().any(|queue| {
+            let place = queue.keys().find(|place| place.ticket == ticket).copied();
+            place.is_some_and(|place| queue.remove(&place).is_some())
+        })
     }
 
     /// Refuses calls that can no longer start in time and grants free slots.
@@ -254,7 +290,7 @@
     pub fn refuse_all(&mut self) -> Vec<Event> {
         let queues = std::mem::take(&mut self.queues);
         let tickets = queues.into_values().flat_map(BTreeMap::into_keys);
-        tickets.map(|ticket| Event::Refuse { ticket, wait_us: 0 }).collect()
+        tickets.map(|place| Event::Refuse { ticket: place.ticket, wait_us: 0 }).collect()
     }
 
     /// Returns when the next waiting call can no longer start in time, in microseconds.
@@ -278,7 +314,7 @@
 
     fn running_mut(&mut self, standing: Standing) -> &mut u32 {
         match standing {
-            Standing::Begun => &mut self.running_begun,
+            Standing::Begun(_) => &mut self.running_begun,
             Standing::Entry(_) => &mut self.running_entry,
         }
     }
@@ -330,7 +366,7 @@
     fn has_slot(&self, now_us: u64, standing: Standing) -> bool {
         let is_free = self.running() < self.limit_now(now_us);
         match standing {
-            Standing::Begun => is_free,
+            Standing::Begun(_) => is_free,
             Standing::Entry(_) => is_free && self.running_entry < self.entry_limit(now_us),
         }
     }
@@ -348,11 +384,14 @@
     }
 
     /// Estimates the wait behind the calls that go first.
-    fn expected_wait_us(&self, now_us: u64, standing: Standing) -> u64 {
-        let ahead = self.queues.range(..=standing).flat_map(|(_, queue)| queue.values());
+    fn expected_wait_us(&self, now_us: u64, standing: Standing, place: Place) -> u64 {
+        let before = self.queues.range(..standing).flat_map(|(_, queue)| queue.values());
+        let own = self.queues.get(&standing);
+        let beside = own.into_iter().flat_map(|queue| queue.range(..place));
+        let ahead = before.chain(beside.map(|(_, waiting)| waiting));
         let work_us: f64 = ahead.map(|waiting| self.expected_service_us(waiting.kind)).sum();
         let slots = match standing {
-            Standing::Begun => self.limit_now(now_us),
+            Standing::Begun(_) => self.limit_now(now_us),
             Standing::Entry(_) => self.entry_limit(now_us),
         };
         (work_us / f64::from(slots.max(1))) as u64
@@ -361,28 +400,39 @@
     fn expire(&mut self, now_us: u64) -> Vec<Event> {
         let mut expired = Vec::new();
         for (standing, queue) in &self.queues {
-            for (ticket, waiting) in queue {
+            for (place, waiting) in queue {
                 if self.latest_start_us(waiting) < now_us {
-                    expired.push((*standing, *ticket));
+                    expired.push((*standing, *place));
                 }
             }
         }
-        let refuse = |(standing, ticket)| {
-            self.queues.get_mut(&standing).map(|queue: &mut BTreeMap<_, _>| queue.remove(&ticket));
-            let wait_us = self.expected_wait_us(now_us, standing);
-            Event::Refuse { ticket, wait_us }
+        let refuse = |(standing, place): (Standing, Place)| {
+            self.queues.get_mut(&standing).map(|queue| queue.remove(&place));
+            let wait_us = self.expected_wait_us(now_us, standing, place);
+            Event::Refuse { ticket: place.ticket, wait_us }
         };
         expired.into_iter().map(refuse).collect()
     }
 
+    /// Takes the last waiting call out, if it goes behind a new one.
+    fn evict_behind(&mut self, standing: Standing, place: Place) -> Option<Ticket> {
+        let mut queues = self.queues.iter_mut().rev();
+        let (last_standing, queue) = queues.find(|(_, queue)| !queue.is_empty())?;
+        let (last_place, _) = queue.last_key_value()?;
+        if (*last_standing, *last_place) < (standing, place) {
+            return None;
+        }
+        queue.pop_last().map(|(place, _)| place.ticket)
+    }
+
     fn grant(&mut self, now_us: u64, events: &mut Vec<Event>) {
         while let Some(standing) = self.next_standing(now_us) {
-            let Some((ticket, _)) = self.queues.get_mut(&standing).and_then(BTreeMap::pop_first)
+            let Some((place, _)) = self.queues.get_mut(&standing).and_then(BTreeMap::pop_first)
             else {
                 return;
             };
             self.start(standing);
-            events.push(Event::Admit(ticket));
+            events.push(Event::Admit(place.ticket));
         }
     }
 
@@ -391,9 +441,9 @@
         let floor = f64::from(self.limit_now(now_us)) * ENTRY_FLOOR_SHARE;
         let waiting =
             |standing: &Standing| self.queues.get(standing).is_some_and(|queue| !queue.is_empty());
-        let entry = self.queues.keys().find(|s| **s != Standing::Begun && waiting(s)).copied();
+        let entry = self.queues.keys().find(|s| !s.is_begun() && waiting(s)).copied();
         let is_entry_due = f64::from(self.running_entry) + 1.0 <= floor;
-        let begun = waiting(&Standing::Begun).then_some(Standing::Begun);
+        let begun = self.queues.keys().find(|s| s.is_begun() && waiting(s)).copied();
         let next = match (begun, entry) {
             (Some(_), Some(entry)) if is_entry_due => Some(entry),
             (Some(begun), _) => Some(begun),
