--- /dev/null
+++ b/crates/policy/tests/placement.rs
@@ -0,0 +1,128 @@
+//! Choice of VMs, weighted splits and the budget of repeats.
+
+use model::{DataCentreName, VmName};
+use policy::placement::{Placement, PlacementLoad, PlacementResult};
+use policy::repeats::{RepeatBounds, RepeatBudget};
+use policy::split::WeightedSplit;
+use proptest::prelude::*;
+
+const S: u64 = 1_000_000;
+const MS: u64 = 1_000;
+
+fn vm(name: &str) -> VmName {
+    VmName::new(name).expect("the name is valid")
+}
+
+/// VMs seen from data centre `a`, each named after its data centre.
+fn placement(vms: &[&str]) -> Placement {
+    let data_centre = |name: &str| DataCentreName::new(&name[..1]).expect("the name is valid");
+    let mut placement = Placement::new(data_centre("a"));
+    for name in vms {
+        placement.upsert(&vm(name), &data_centre(name), false);
+    }
+    placement
+}
+
+fn load(in_flight: u32, queued: u32) -> PlacementLoad {
+    PlacementLoad { in_flight, queued, limit: 10 }
+}
+
+/// Checks which VM is chosen after reports of calls in flight and waiting.
+fn check(reports: &[(&str, u32, u32)], expected: &str) {
+    let names: Vec<&str> = reports.iter().map(|(name, ..)| *name).collect();
+    let mut placement = placement(&names);
+    for (name, in_flight, queued) in reports {
+        placement.report(&vm(name), load(*in_flight, *queued));
+    }
+    assert_eq!(placement.choose(S, &[], 7), Some(vm(expected)));
+}
+
+macro_rules! cases {
+    ($($name:ident: $reports:expr => $expected:literal;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                check(&$reports, $expected);
+            }
+        )*
+    };
+}
+
+cases! {
+    own_data_centre_goes_first: [("a1", 5, 0), ("b1", 0, 0)] => "a1";
+    full_data_centre_spills_over: [("a1", 10, 3), ("b1", 1, 0)] => "b1";
+    own_data_centre_keeps_calls_when_all_are_full: [("a1", 10, 0), ("b1", 10, 0)] => "a1";
+    less_loaded_of_two_wins: [("a1", 6, 0), ("a2", 2, 0)] => "a2";
+    waiting_calls_count: [("a1", 3, 6), ("a2", 5, 0)] => "a2";
+}
+
+#[test]
+fn calls_sent_since_a_report_count() {
+    let mut placement = placement(&["a1", "a2"]);
+    placement.report(&vm("a1"), load(2, 0));
+    placement.report(&vm("a2"), load(3, 0));
+    let chosen: Vec<_> = (0..6).filter_map(|_| placement.choose(S, &[], 7)).collect();
+    assert!(chosen.contains(&vm("a2")), "{chosen:?}");
+}
+
+#[test]
+fn unreachable_vm_is_avoided_then_tried_by_one_call() {
+    let mut placement = placement(&["a1", "b1"]);
+    assert_eq!(placement.choose(S, &[], 7), Some(vm("a1")));
+    placement.finish(S, &vm("a1"), PlacementResult::Unreachable);
+    assert_eq!(placement.choose(S + 100 * MS, &[], 7), Some(vm("b1")));
+    assert_eq!(placement.choose(S + 300 * MS, &[], 7), Some(vm("a1")), "a probe");
+    assert_eq!(placement.choose(S + 300 * MS, &[], 7), Some(vm("b1")), "one probe at a time");
+    placement.finish(S + 310 * MS, &vm("a1"), PlacementResult::Reached);
+    assert_eq!(placement.choose(S + 320 * MS, &[], 7), Some(vm("a1")));
+}
+
+#[test]
+fn last_unreachable_vm_is_still_tried() {
+    let mut placement = placement(&["a1"]);
+    placement.finish(S, &vm("a1"), PlacementResult::Unreachable);
+    assert_eq!(placement.choose(S, &[], 7), Some(vm("a1")));
+    assert_eq!(placement.choose(S, &[vm("a1")], 7), None);
+}
+
+#[test]
+fn leaving_vm_gets_nothing() {
+    let mut placement = placement(&["a1", "b1"]);
+    placement.upsert(&vm("a1"), &DataCentreName::new("a").unwrap(), true);
+    assert_eq!(placement.choose(S, &[], 7), Some(vm("b1")));
+}
+
+proptest! {
+    #[test]
+    fn split_keeps_its_shares(first in 1u32..100, second in 0u32..100, start: u64) {
+        let weights = [f64::from(first), f64::from(second)];
+        let split = WeightedSplit::new(weights, start);
+        let count = (0..300).filter(|_| split.next() == 0).count() as f64;
+        let share = weights[0] / (weights[0] + weights[1]);
+        prop_assert!((count / 300.0 - share).abs() < 0.02, "{count} of 300, share {share}");
+    }
+
+    #[test]
+    fn repeats_of_all_nodes_stay_within_the_bounds(
+        nodes in 1usize..80,
+        requests_per_s in 0u64..200,
+        seed: u64,
+    ) {
+        let bounds = RepeatBounds { ratio: 0.2, slack: 60.0, window_s: 10.0 };
+        let mut budget = RepeatBudget::new(0, bounds, nodes);
+        let mut granted = 0u64;
+        for step in 0..1_000 {
+            let now_us = step * 10 * MS;
+            if (step * requests_per_s / 100) != ((step + 1) * requests_per_s / 100) {
+                budget.record_request(bounds, nodes);
+            }
+            if (seed >> (step % 64)) & 1 == 0 && budget.withdraw(now_us, bounds, nodes, 1.0) {
+                granted += 1;
+            }
+        }
+        let requests = requests_per_s.min(100) as f64 * 10.0 * nodes as f64;
+        // A node may always send one; with very many nodes that is the larger part.
+        let allowed = bounds.ratio * requests + bounds.slack.max(2.0 * nodes as f64);
+        prop_assert!((granted * nodes as u64) as f64 <= allowed, "{granted} each, {allowed} in all");
+    }
+}
