Leave a replica that loses its quorum after it was accepted without one

Cause: a node that found no quorum anywhere at its start accepted the next replica for as long as the stream held, and all nodes began at the same replica. The wait for a silent replica began anew with each report of the node, so it never ended. Ruled out: the replica's own count of its contact; it grew as it should. Change: acceptance ends with the first message that shows a quorum; one deadline for silence; nodes begin at different replicas.

--- a/crates/control-link/src/lib.rs
+++ b/crates/control-link/src/lib.rs
@@ -8,6 +8,7 @@
 use rpc::{ControlUpdate, NodeReport};
 use slog::{Logger, info, warn};
 use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
 use tokio_stream::StreamExt;
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::transport::Endpoint;
@@ -21,7 +22,7 @@
 const PING_TIMEOUT: Duration = Duration::from_secs(1);
 const QUEUE_REPORTS: usize = 16;
 /// Silence after which a stream counts as lost; control sends twice a second.
-const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_500);
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Age of a replica's contact with its quorum from which another one is preferred: above an election
 /// timeout (600 ms), and low enough that a node behind a cut-off replica learns of a change elsewhere
 /// within the 2 s in which changes come into force.
@@ -31,6 +32,10 @@
 pub trait AttachedNode {
     /// Returns the replicas to try, in order of preference. At least one.
     fn controls(&self) -> Vec<SocketAddr>;
+    /// Returns the position of the replica to begin with, taken modulo their number.
+    fn first_control(&self) -> usize {
+        0
+    }
     /// Returns the node's next report.
     fn report(&mut self) -> NodeReport;
     /// Applies an update. Returns whether the node's versions changed, so that it reports at once.
@@ -65,7 +70,8 @@
 
     /// Keeps a stream to one replica, the next one when it fails or is cut off from its quorum.
     pub async fn run(mut self) {
-        let mut index = 0;
+        // Nodes begin at different replicas, so that they share the work and a cut-off replica has few.
+        let mut index = self.node.first_control();
         let mut isolated_in_row = 0;
         loop {
             let controls = self.node.controls();
@@ -83,6 +89,7 @@
     }
 
     async fn attach(&mut self, address: SocketAddr, accepts_isolation: bool) -> StreamEnd {
+        let mut accepts_isolation = accepts_isolation;
         let (reports, receiver) = mpsc::channel(QUEUE_REPORTS);
         // The queue is empty, so the first report fits.
         let _ = reports.try_send(self.node.report());
@@ -102,17 +109,21 @@
         info!(self.log, "control-attached"; "control" => %address);
         let mut interval = tokio::time::interval(REPORT_INTERVAL);
         let mut stop = self.stop.clone();
+        let mut silent_at = Instant::now() + SILENCE_TIMEOUT;
         loop {
             tokio::select! {
-                update = tokio::time::timeout(SILENCE_TIMEOUT, updates.next()) => {
+                update = tokio::time::timeout_at(silent_at, updates.next()) => {
                     let Ok(Some(Ok(update))) = update else {
                         warn!(self.log, "control-lost"; "control" => %address);
                         return StreamEnd::Lost;
                     };
+                    silent_at = Instant::now() + SILENCE_TIMEOUT;
                     let is_isolated = update.contact_age_ms > MAX_CONTACT_AGE_MS;
                     if self.node.take(update) && reports.send(self.node.report()).await.is_err() {
                         return StreamEnd::Lost;
                     }
+                    // A replica that had a quorum since is no longer one among many without.
+                    accepts_isolation &= is_isolated;
                     if is_isolated && !accepts_isolation {
                         warn!(self.log, "control-isolated"; "control" => %address);
                         return StreamEnd::Isolated;
--- a/crates/mesh/src/attachment.rs
+++ b/crates/mesh/src/attachment.rs
@@ -1,5 +1,6 @@
 //! What the node reports to control, and how it takes the configuration and endpoints.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 
@@ -71,6 +72,12 @@
         all.into_iter().collect()
     }
 
+    fn first_control(&self) -> usize {
+        let mut hasher = DefaultHasher::new();
+        self.parts.settings.vm.name.hash(&mut hasher);
+        hasher.finish() as usize
+    }
+
     fn take(&mut self, update: ControlUpdate) -> bool {
         let learnt = update.replica_addresses.iter().filter_map(|text| match text.parse() {
             Ok(address) => Some(address),
--- a/xtask/src/tidy.rs
+++ b/xtask/src/tidy.rs
@@ -15,7 +15,23 @@
     LongFile { path: "crates/consensus/src/raft.rs", _reason: "one state machine, one file" },
 ];
 /// Crates whose sources are on the request path.
-const REQUEST_PATH_DIRS: &[&str] = &["crates/node/src", "crates/policy/src"];
+const REQUEST_PATH_DIRS: &[&str] =
+    &["crates/mesh/src", "crates/node/src", "crates/policy/src", "platform/src"];
+/// Folder of the adapter, the only place for the names below.
+const ADAPTER_DIR: &str = "platform/";
+/// Names that only the users' platform uses, in lower case.
+const PLATFORM_NAMES: &[&str] = &[
+    "heatherweir_config",
+    "latency_target_ms",
+    "heartbeat_addr",
+    "internal_port_range",
+    "target-instance",
+    "cold_left_ms",
+    "server-stamp",
+    "deadline-ms\"",
+    "/config/put",
+    "/config/get",
+];
 /// Types of time and size whose fields carry a unit.
 const UNITLESS_FIELDS: &[&str] =
     &["timeout: u64", "deadline: u64", "latency: u64", "interval: u64", "delay: u64", "age: u64"];
@@ -29,7 +45,7 @@
 pub fn check() -> Result<(), ChoreError> {
     let root = workspace_root();
     let mut faults = Vec::new();
-    for dir in ["crates", "xtask"] {
+    for dir in ["crates", "platform", "xtask"] {
         for path in rust_files(&root.join(dir))? {
             let text = fs::read_to_string(&path).context(path.as_path())?;
             let name = path.strip_prefix(&root).unwrap_or(&path).display().to_string();
@@ -59,6 +75,10 @@
     for (index, line) in text.lines().enumerate() {
         let place = format!("{name}:{}", index + 1);
         let code = line.split("//").next().unwrap_or_default();
+        let is_foreign = !name.starts_with(ADAPTER_DIR) && names_platform(line);
+        if is_foreign {
+            faults.push(format!("{place}: a name of the platform outside {ADAPTER_DIR}"));
+        }
         if is_on_request_path && code.contains("dyn ") {
             faults.push(format!("{place}: dyn on the request path"));
         }
@@ -75,6 +95,11 @@
     faults
 }
 
+fn names_platform(line: &str) -> bool {
+    let line = line.to_ascii_lowercase().replace("heatherweir-deadline-ms", "");
+    PLATFORM_NAMES.iter().any(|name| line.contains(name))
+}
+
 fn rust_files(dir: &Path) -> Result<Vec<PathBuf>, ChoreError> {
     let mut files = Vec::new();
     for entry in fs::read_dir(dir).context(dir)? {
