--- a/crates/control-link/src/lib.rs
+++ b/crates/control-link/src/lib.rs
@@ -15,8 +15,11 @@
 use tonic::{Status, Streaming};
 
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
-const RECONNECT_PAUSE: Duration = Duration::from_millis(200);
-/// Longest wait for a connection and the first answer.
+/// Pause before the next replica is tried.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
+/// Longest wait for a connection: many round trips inside a region. A VM without power does not answer.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Longest wait for the first answer.
 const ATTACH_TIMEOUT: Duration = Duration::from_secs(1);
 const PING_INTERVAL: Duration = Duration::from_secs(1);
 const PING_TIMEOUT: Duration = Duration::from_secs(1);
@@ -151,7 +154,7 @@
 ) -> Result<Streaming<ControlUpdate>, Status> {
     let endpoint = Endpoint::from_shared(format!("http://{address}"))
         .map_err(|error| Status::from_error(error.into()))?
-        .connect_timeout(ATTACH_TIMEOUT)
+        .connect_timeout(CONNECT_TIMEOUT)
         .http2_keep_alive_interval(PING_INTERVAL)
         .keep_alive_timeout(PING_TIMEOUT)
         .tcp_nodelay(true);
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -23,8 +23,8 @@
 use crate::view::View;
 
 const TICK: Duration = Duration::from_millis(10);
-const ELECTION_TIMEOUT_US: u64 = 600_000;
-const HEARTBEAT_US: u64 = 100_000;
+/// Heartbeats of a leader in an election timeout; a few may be lost.
+const HEARTBEATS_PER_TIMEOUT: u64 = 6;
 const SNAPSHOT_CHUNK_BYTES: usize = 256 * 1024;
 const MAX_BATCH: usize = 1_024;
 const MAX_LOG_BYTES: u64 = 8 * 1024 * 1024;
@@ -127,9 +127,10 @@
     files: ReplicaFiles,
     stored: Stored,
     outbox: impl Outbox + Send + 'static,
+    election_timeout_us: u64,
 ) -> Result<(ReplicaHandle, JoinHandle<Result<(), ReplicaError>>), ReplicaError> {
     let state = State::from_snapshot(&stored.snapshot.data)?;
-    let raft = Raft::new(raft_settings(id), stored, clock.now_us());
+    let raft = Raft::new(raft_settings(id, election_timeout_us), stored, clock.now_us());
     let (inputs, receiver) = mpsc::channel();
     let (revision_sender, profile_revision) = watch::channel(state.profiles().revision());
     let (configuration_sender, configuration_version) =
@@ -142,6 +143,7 @@
         files,
         state,
         outbox,
+        election_timeout_us,
         pending: BTreeMap::new(),
         view: Arc::clone(&view),
         revision_sender,
@@ -153,11 +155,11 @@
     Ok((handle, thread))
 }
 
-fn raft_settings(id: ReplicaId) -> consensus::Settings {
+fn raft_settings(id: ReplicaId, election_timeout_us: u64) -> consensus::Settings {
     consensus::Settings {
         id,
-        election_timeout_us: ELECTION_TIMEOUT_US,
-        heartbeat_us: HEARTBEAT_US,
+        election_timeout_us,
+        heartbeat_us: election_timeout_us / HEARTBEATS_PER_TIMEOUT,
         snapshot_chunk_bytes: SNAPSHOT_CHUNK_BYTES,
         seed: id.0,
     }
@@ -175,6 +177,7 @@
     files: ReplicaFiles,
     state: State,
     outbox: O,
+    election_timeout_us: u64,
     pending: BTreeMap<Index, PendingProposal>,
     view: Arc<ArcSwap<View>>,
     revision_sender: watch::Sender<u64>,
@@ -336,7 +339,11 @@
             error!(self.log, "formation-failed"; "error" => %error);
             return;
         }
-        self.raft = Raft::new(raft_settings(self.raft.id()), stored, self.clock.now_us());
+        self.raft = Raft::new(
+            raft_settings(self.raft.id(), self.election_timeout_us),
+            stored,
+            self.clock.now_us(),
+        );
         info!(self.log, "replica-formed"; "members" => self.raft.membership().members.len());
     }
 
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -100,8 +100,16 @@
         address: settings.advertise.to_string(),
     };
     let outbox = PeerStreams::new(tokio::runtime::Handle::current(), log.clone(), sender);
-    let (replica, thread) =
-        replica::start(log.clone(), clock, id, files, recovered.stored, outbox)?;
+    let election_timeout_us = settings.election_timeout_ms * 1_000;
+    let (replica, thread) = replica::start(
+        log.clone(),
+        clock,
+        id,
+        files,
+        recovered.stored,
+        outbox,
+        election_timeout_us,
+    )?;
     let (stop_sender, stop) = watch::channel(false);
     let shared = Shared::new(log.clone(), clock, settings.clone(), replica.clone(), stop);
     let admin = start_admin(&settings, &shared)?;
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -33,6 +33,10 @@
     }
 }
 
+/// Election timeout of a replica that is not told another, in milliseconds: many times the time of a
+/// message and a sync, also on a busy VM.
+const DEFAULT_ELECTION_TIMEOUT_MS: u64 = 600;
+
 /// A first member of the cluster.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct MemberAddress {
@@ -93,6 +97,8 @@
     pub operator_token: Option<String>,
     /// Time for which claims are remembered, in milliseconds.
     pub claim_window_ms: u64,
+    /// Shortest silence of the leader after which another replica stands for election, in milliseconds.
+    pub election_timeout_ms: u64,
 }
 
 /// Returns the command line of the program.
@@ -180,6 +186,7 @@
             formation: Formation::FirstMembers,
             operator_token: read_token(optional(matches, "operator-token-file"))?,
             claim_window_ms: claim_window_s * 1_000,
+            election_timeout_ms: DEFAULT_ELECTION_TIMEOUT_MS,
         })
     }
 }
--- a/crates/mesh/src/dispatch.rs
+++ b/crates/mesh/src/dispatch.rs
@@ -178,6 +178,7 @@
     fn finish(&mut self, result: &Result<Answer, Failure>, load: Option<NodeLoad>) {
         self.is_done = true;
         let ended = match result {
+            Ok(answer) if answer.status.is_server_error() => PlacementResult::Failed,
             Ok(_) => PlacementResult::Reached,
             Err(failure) => placement_result(failure, load),
         };
@@ -200,9 +201,9 @@
         (Reason::NoUpstream | Reason::Leaving | Reason::ConnectFailed, Some(_)) => {
             PlacementResult::Leaving
         }
-        (Reason::DeadlineExceeded, _) => PlacementResult::Reached,
+        (Reason::DeadlineExceeded, _) => PlacementResult::Failed,
         (_, Some(_)) if failure.outcome == Outcome::NotRun => PlacementResult::Refused,
-        (_, Some(_)) => PlacementResult::Reached,
+        (_, Some(_)) => PlacementResult::Failed,
         (_, None) => PlacementResult::Unreachable,
     }
 }
--- a/crates/mesh/src/endpoints.rs
+++ b/crates/mesh/src/endpoints.rs
@@ -6,8 +6,9 @@
 use indexmap::{IndexMap, IndexSet};
 use model::{DataCentreName, ServiceName, Vm, VmName};
 use policy::US_PER_S;
+use policy::fading::FadingShare;
 use policy::placement::{Placement, PlacementResult};
-use policy::pressure::FadingShare;
+use policy::pressure::MEMORY_US;
 use policy::repeats::{RepeatBounds, RepeatBudget};
 use slog::{Logger, info, warn};
 
@@ -246,7 +247,7 @@
             placement: Placement::new(own_data_centre.clone()),
             peers: IndexMap::new(),
             budget: None,
-            pressure: FadingShare::default(),
+            pressure: FadingShare::new(MEMORY_US),
         })
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod allowance;
 pub mod budget;
 pub mod burn;
+pub mod fading;
 pub mod limit;
 pub mod placement;
 pub mod pressure;
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -7,7 +7,8 @@
 use indexmap::IndexMap;
 use model::{DataCentreName, VmName};
 
-use crate::US_PER_MS;
+use crate::fading::FadingShare;
+use crate::{US_PER_MS, US_PER_S};
 
 /// Utilization of the own data centre's best VM above which other data centres are considered.
 /// Upstreams slow down near their last slots, so calls leave before these fill.
@@ -25,6 +26,13 @@
 /// Doublings of the time for which an unreachable VM is avoided; the longest is 3.2 s.
 const MAX_AVOID_DOUBLINGS: u32 = 4;
 
+/// Memory of a VM's failures, in microseconds: long enough to leave a failing VM, short enough to come
+/// back within seconds.
+const FAILURE_MEMORY_US: u64 = 2 * US_PER_S;
+/// Utilization that a VM which fails every call seems to have more. One in five failing weighs as much
+/// as a VM that is nearly full, so calls move where others have room.
+const FAILURE_WEIGHT: f64 = 4.0;
+
 /// Load as a VM reported it with an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct PlacementLoad {
@@ -41,6 +49,8 @@
 pub enum PlacementResult {
     /// The VM answered or was at work.
     Reached,
+    /// The VM was reached, and the call failed there.
+    Failed,
     /// The VM refused the call.
     Refused,
     /// The VM has no upstream that takes work.
@@ -57,6 +67,7 @@
     load: Option<PlacementLoad>,
     own_at_report: u32,
     refused_until_us: u64,
+    failures: FadingShare,
     failures_in_row: u32,
     avoided_until_us: u64,
     is_probing: bool,
@@ -64,13 +75,14 @@
 
 impl Candidate {
     fn utilization(&self, now_us: u64) -> f64 {
-        let refused = if now_us < self.refused_until_us { REFUSED_PENALTY } else { 0.0 };
+        let penalty = if now_us < self.refused_until_us { REFUSED_PENALTY } else { 0.0 };
+        let penalty = penalty + FAILURE_WEIGHT * self.failures.value(now_us);
         let Some(load) = self.load else {
-            return refused + f64::from(self.own_in_flight + 1) / f64::from(DEFAULT_LIMIT);
+            return penalty + f64::from(self.own_in_flight + 1) / f64::from(DEFAULT_LIMIT);
         };
         let sent_since = self.own_in_flight.saturating_sub(self.own_at_report);
         let total = (load.in_flight + load.queued + sent_since).max(self.own_in_flight) + 1;
-        refused + f64::from(total) / f64::from(load.limit.max(1))
+        penalty + f64::from(total) / f64::from(load.limit.max(1))
     }
 
     fn is_avoided(&self, now_us: u64) -> bool {
@@ -100,6 +112,7 @@
             load: None,
             own_at_report: 0,
             refused_until_us: 0,
+            failures: FadingShare::new(FAILURE_MEMORY_US),
             failures_in_row: 0,
             avoided_until_us: 0,
             is_probing: false,
@@ -140,7 +153,14 @@
         candidate.own_in_flight = candidate.own_in_flight.saturating_sub(1);
         candidate.is_probing = false;
         match result {
-            PlacementResult::Reached => candidate.failures_in_row = 0,
+            PlacementResult::Reached => {
+                candidate.failures.record(now_us, 0.0);
+                candidate.failures_in_row = 0;
+            }
+            PlacementResult::Failed => {
+                candidate.failures.record(now_us, 1.0);
+                candidate.failures_in_row = 0;
+            }
             PlacementResult::Refused => {
                 candidate.failures_in_row = 0;
                 candidate.refused_until_us = now_us + REFUSED_US;
--- a/crates/policy/src/pressure.rs
+++ b/crates/policy/src/pressure.rs
@@ -8,10 +8,11 @@
 
 use indexmap::IndexMap;
 
+use crate::fading::FadingShare;
 use crate::{US_PER_MS, US_PER_S};
 
-/// Memory of the shares below, in microseconds: several round trips through a call chain.
-const MEMORY_US: f64 = 400.0 * US_PER_MS as f64;
+/// Memory of pressures and failures, in microseconds: several round trips through a call chain.
+pub const MEMORY_US: u64 = 400 * US_PER_MS;
 /// Wait for a slot that a call of a begun request bears without harm, in microseconds. A chain makes
 /// several such calls in a row.
 const HARMLESS_WAIT_US: u64 = 20 * US_PER_MS;
@@ -41,35 +42,6 @@
 /// Most callers that are expected back.
 const MAX_RETURNS: usize = 4_096;
 
-/// Exponentially fading mean of samples.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct FadingShare {
-    sum: f64,
-    weight: f64,
-    updated_us: u64,
-}
-
-impl FadingShare {
-    /// Takes a sample into account.
-    pub fn record(&mut self, now_us: u64, sample: f64) {
-        let kept = self.kept(now_us);
-        self.sum = self.sum * kept + sample;
-        self.weight = self.weight * kept + 1.0;
-        self.updated_us = now_us;
-    }
-
-    /// Returns the mean. It fades to zero without samples, as if a few harmless ones came in.
-    pub fn value(&self, now_us: u64) -> f64 {
-        const HARMLESS_SAMPLES: f64 = 2.0;
-        let kept = self.kept(now_us);
-        self.sum * kept / (self.weight * kept + HARMLESS_SAMPLES)
-    }
-
-    fn kept(&self, now_us: u64) -> f64 {
-        (-(now_us.saturating_sub(self.updated_us) as f64) / MEMORY_US).exp()
-    }
-}
-
 /// Returns how far a wait for a slot harms the request above, from zero to one.
 pub fn harm_of_wait(wait_us: u64) -> f64 {
     let excess_us = wait_us.saturating_sub(HARMLESS_WAIT_US) as f64;
@@ -77,7 +49,7 @@
 }
 
 /// Pressure at one node: of its own upstream and of what that upstream calls.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct NodePressure {
     /// Harm done to calls of begun requests by waiting here.
     own: FadingShare,
@@ -85,6 +57,12 @@
     below: FadingShare,
 }
 
+impl Default for NodePressure {
+    fn default() -> Self {
+        Self { own: FadingShare::new(MEMORY_US), below: FadingShare::new(MEMORY_US) }
+    }
+}
+
 impl NodePressure {
     /// Takes into account how long a call of a begun request waited here.
     pub fn record_wait(&mut self, now_us: u64, wait_us: u64) {
@@ -127,7 +105,7 @@
             share: 1.0,
             credit: MAX_CREDIT,
             stepped_us: 0,
-            failures: FadingShare::default(),
+            failures: FadingShare::new(MEMORY_US),
             returns: IndexMap::new(),
         }
     }
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -85,6 +85,29 @@
     assert_eq!(placement.choose(S, &[vm("a1")], 7), None);
 }
 
+/// Sends calls to two VMs of which one fails a share of them. Returns the share that failed.
+fn failed_share(failing_percent: u64) -> f64 {
+    let mut placement = placement(&["a1", "a2"]);
+    let mut failed = 0;
+    for call in 0..400u64 {
+        let now_us = S + call * 10 * MS;
+        let random = call.wrapping_mul(0x9E37_79B9_7F4A_7C15);
+        let chosen = placement.choose(now_us, &[], random).expect("a VM");
+        let fails = chosen == vm("a1") && call * 37 % 100 < failing_percent;
+        failed += u64::from(fails);
+        let result = if fails { PlacementResult::Failed } else { PlacementResult::Reached };
+        placement.finish(now_us + MS, &chosen, result);
+        placement.report(&chosen, load(1, 0));
+    }
+    failed as f64 / 400.0
+}
+
+#[test]
+fn calls_move_away_from_a_vm_that_fails_some() {
+    // Half of 40 % would fail with an even split.
+    assert!(failed_share(40) < 0.05, "{}", failed_share(40));
+}
+
 #[test]
 fn leaving_vm_gets_nothing() {
     let mut placement = placement(&["a1", "b1"]);
