--- a/crates/control-link/src/lib.rs
+++ b/crates/control-link/src/lib.rs
@@ -55,7 +55,6 @@
 
 /// Why a stream ended.
 enum StreamEnd {
-    Stopping,
     Lost,
     Isolated,
 }
@@ -71,8 +70,18 @@
         Self { log, node, announced, stop }
     }
 
-    /// Keeps a stream to one replica, the next one when it fails or is cut off from its quorum.
-    pub async fn run(mut self) {
+    /// Keeps a stream to one replica, the next one when it fails or is cut off from its quorum, until it
+    /// is told to stop.
+    pub async fn run(self) {
+        let mut stop = self.stop.clone();
+        tokio::select! {
+            () = self.keep_attached() => {}
+            // A replica that does not answer must not hold the stop up.
+            _ = stop.wait_for(|is_stopping| *is_stopping) => {}
+        }
+    }
+
+    async fn keep_attached(mut self) {
         // Nodes begin at different replicas, so that they share the work and a cut-off replica has few.
         let mut index = self.node.first_control();
         let mut isolated_in_row = 0;
@@ -82,7 +91,6 @@
             // When every replica is cut off, the node stays with the one it has.
             let accepts_isolation = isolated_in_row >= controls.len();
             match self.attach(address, accepts_isolation).await {
-                StreamEnd::Stopping => return,
                 StreamEnd::Isolated => isolated_in_row += 1,
                 StreamEnd::Lost => isolated_in_row = 0,
             }
@@ -111,7 +119,6 @@
         };
         info!(self.log, "control-attached"; "control" => %address);
         let mut interval = tokio::time::interval(REPORT_INTERVAL);
-        let mut stop = self.stop.clone();
         let mut silent_at = Instant::now() + SILENCE_TIMEOUT;
         loop {
             tokio::select! {
@@ -142,7 +149,6 @@
                         return StreamEnd::Lost;
                     }
                 }
-                _ = stop.wait_for(|is_stopping| *is_stopping) => return StreamEnd::Stopping,
             }
         }
     }
