Go on without voters that are gone; admit them again if they return

Cause: a replica replaced at another address stayed a voter; after the second replacement the quorum needed a VM that no longer existed, and with one full disk nothing was accepted. Ruled out: the full disk alone; three other voters would have been enough.

--- a/crates/consensus/src/raft.rs
+++ b/crates/consensus/src/raft.rs
@@ -193,6 +193,11 @@
         self.progress.get(&id).map(|progress| progress.match_index)
     }
 
+    /// Returns how long a leader has not heard from a follower, in microseconds.
+    pub fn silence_us(&self, now_us: u64, id: ReplicaId) -> Option<u64> {
+        self.progress.get(&id).map(|progress| now_us.saturating_sub(progress.last_contact_us))
+    }
+
     /// Returns whether the entry of the leader's own term is committed.
     pub fn is_settled_leader(&self) -> bool {
         let committed_term = self.log.term_at(self.commit_index);
--- a/crates/control/src/formation.rs
+++ b/crates/control/src/formation.rs
@@ -7,6 +7,8 @@
 use std::time::Duration;
 
 use consensus::{Member, Membership, ReplicaId};
+use daemon::Clock;
+use indexmap::IndexSet;
 use rpc::replica_client::ReplicaClient;
 use rpc::{IdentifyRequest, JoinRequest, ReplicaIdentity, ReplicaMember};
 use slog::{Logger, info, warn};
@@ -18,12 +20,34 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(200);
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Forms or joins the cluster; returns once the replica has a membership.
-pub(crate) async fn run(log: Logger, settings: Settings, replica: ReplicaHandle) {
+/// Silence of the cluster after which a replica asks whether it is still a member, in microseconds.
+const REJOIN_AFTER_US: u64 = 2_000_000;
+const REJOIN_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Forms or joins the cluster, and joins again if the cluster goes on without the replica.
+pub(crate) async fn run(log: Logger, clock: Clock, settings: Settings, replica: ReplicaHandle) {
+    form_or_join(&log, &settings, &replica).await;
+    loop {
+        tokio::time::sleep(REJOIN_INTERVAL).await;
+        let view = replica.view();
+        if clock.now_us().saturating_sub(view.quorum_contact_us) < REJOIN_AFTER_US {
+            continue;
+        }
+        let known = view.membership.members.values();
+        let known = known.filter_map(|member| member.address.parse().ok());
+        let found = look_around(&settings, known).await;
+        if let Some(address) = found.formed_without(view.id) {
+            info!(log, "replica-rejoins"; "replica" => %view.id, "through" => address.clone());
+            join(&log, &settings, view.id, address).await;
+        }
+    }
+}
+
+async fn form_or_join(log: &Logger, settings: &Settings, replica: &ReplicaHandle) {
     let own = replica.view().id;
     let mut is_join_logged = false;
     while replica.view().membership.members.is_empty() {
-        let found = look_around(&settings).await;
+        let found = look_around(settings, []).await;
         if let Some(membership) = found.membership_with(own) {
             replica.input(Input::Form { membership });
         } else if let Some(address) = found.formed_address() {
@@ -31,8 +55,8 @@
                 info!(log, "replica-joins"; "replica" => %own, "through" => address.clone());
                 is_join_logged = true;
             }
-            join(&log, &settings, own, address).await;
-        } else if let Some(membership) = found.first_membership(own, &settings) {
+            join(log, settings, own, address).await;
+        } else if let Some(membership) = found.first_membership(own, settings) {
             replica.input(Input::Form { membership });
         }
         tokio::time::sleep(POLL_INTERVAL).await;
@@ -54,6 +78,17 @@
         memberships.find(|membership| membership.members.contains_key(&own))
     }
 
+    /// Returns the address of another replica whose cluster does not count this one in.
+    fn formed_without(&self, own: ReplicaId) -> Option<String> {
+        let excludes = |identity: &ReplicaIdentity| {
+            identity.is_formed
+                && identity.replica_id != own.0
+                && !identity.members.iter().any(|member| member.replica_id == own.0)
+        };
+        let other = self.0.iter().find(|sighting| excludes(&sighting.identity))?;
+        Some(other.address.to_string())
+    }
+
     fn formed_address(&self) -> Option<String> {
         let formed = self.0.iter().find(|sighting| sighting.identity.is_formed)?;
         Some(formed.address.to_string())
@@ -91,11 +126,16 @@
     Membership { members: members.collect() }
 }
 
-async fn look_around(settings: &Settings) -> Sightings {
+/// Asks the replicas that the settings name, and others that are known, who they are.
+async fn look_around(
+    settings: &Settings,
+    known: impl IntoIterator<Item = SocketAddr>,
+) -> Sightings {
     let mut sightings = Vec::new();
-    for member in &settings.members {
-        if let Some(identity) = identify(settings, *member).await {
-            sightings.push(Sighting { address: *member, identity });
+    let addresses: IndexSet<_> = settings.members.iter().copied().chain(known).collect();
+    for address in addresses {
+        if let Some(identity) = identify(settings, address).await {
+            sightings.push(Sighting { address, identity });
         }
     }
     Sightings(sightings)
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod configurations;
 pub mod directory;
 mod formation;
+pub mod membership;
 mod peers;
 pub mod profiles;
 mod replica;
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -18,6 +18,7 @@
 use tokio::sync::{oneshot, watch};
 
 use crate::claims::{ClaimKey, ClaimResult};
+use crate::membership;
 use crate::peers::Outbox;
 use crate::state::{Applied, Command, State, StateError};
 use crate::view::View;
@@ -373,7 +374,8 @@
             self.change_membership(now_us, next, "learner-promoted", id);
             return;
         }
-        if let Some(id) = replaced_member(&membership) {
+        let silence_us = |id: ReplicaId| self.raft.silence_us(now_us, id).unwrap_or_default();
+        if let Some(id) = membership::superfluous_member(&membership, silence_us) {
             let mut next = membership;
             next.members.shift_remove(&id);
             self.change_membership(now_us, next, "replica-removed", id);
@@ -434,18 +436,6 @@
     });
 }
 
-/// Returns an older member at the same address as a newer voter.
-fn replaced_member(membership: &Membership) -> Option<ReplicaId> {
-    let is_replaced = |id: ReplicaId, address: &str| {
-        let position = membership.members.get_index_of(&id);
-        membership.members.iter().enumerate().any(|(index, (_, other))| {
-            Some(index) > position && other.is_voter && other.address == address
-        })
-    };
-    let mut members = membership.members.iter();
-    members.find(|(id, member)| is_replaced(**id, &member.address)).map(|(id, _)| *id)
-}
-
 fn view_of(raft: &Raft, state: &State, now_us: u64) -> View {
     View {
         id: raft.id(),
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -115,7 +115,7 @@
     let admin = start_admin(&settings, &shared)?;
     info!(log, "control-started"; "replica" => %id, "listen" => %listener.local_addr()?,
         "admin" => %admin.address(), "data_centre" => %settings.data_centre);
-    tokio::spawn(formation::run(log.clone(), settings.clone(), replica.clone()));
+    tokio::spawn(formation::run(log.clone(), clock, settings.clone(), replica.clone()));
     tokio::spawn(service::sync_directories(shared.clone()));
     tokio::spawn(operators(ConfigurationStore::new(shared.clone())));
     let serve = serve(listener, shared, stop_sender);
