--- a/crates/mesh/src/attachment.rs
+++ b/crates/mesh/src/attachment.rs
@@ -12,7 +12,7 @@
 use rpc::{ControlUpdate, NodeReport};
 use slog::{Logger, error, warn};
 
-use crate::caller::ConfigurationHolder;
+use crate::configuration_holder::ConfigurationHolder;
 use crate::dialect::{Dialect, UpstreamPhase, UpstreamReport};
 use crate::endpoints::Endpoints;
 use crate::ingress::Ingress;
--- a/crates/mesh/src/caller.rs
+++ b/crates/mesh/src/caller.rs
@@ -2,11 +2,9 @@
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use arc_swap::ArcSwapOption;
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use indexmap::IndexMap;
 use model::{Configuration, HostRoute, Outcome, Reason, ServiceName};
@@ -14,16 +12,17 @@
 use policy::pressure::EntryThrottle;
 use policy::retry_after;
 use policy::slots::{KindKey, Standing};
-use policy::split::WeightedSplit;
-use slog::{Logger, info};
+use slog::info;
 
 use crate::body::{AnswerBody, BodyError, CallBody};
 use crate::call::{self, CallHead};
+use crate::configuration_holder::ConfigurationHolder;
 use crate::dialect::{Dialect, RequestFacts};
 use crate::dispatch::Dispatcher;
 use crate::failure::Failure;
-use crate::ingress::{Answer, Lineage, forwarded_headers};
+use crate::ingress::{Answer, forwarded_headers};
 use crate::listener::{ConnectionLimits, Handler, InboundBody};
+use crate::running_ids::Lineage;
 
 /// Time that a caller waits if neither it nor the route says how long, in milliseconds.
 const DEFAULT_TIMEOUT_MS: u64 = 30_000;
@@ -33,61 +32,6 @@
 /// Longest wait of a new request without an objective, in milliseconds.
 const DEFAULT_MAX_WAIT_MS: u64 = 200;
 
-/// The configuration in force and the counters that split its routes.
-pub(crate) struct InForce {
-    pub(crate) configuration: Configuration,
-    splits: IndexMap<Arc<str>, WeightedSplit>,
-}
-
-impl InForce {
-    pub(crate) fn new(configuration: Configuration) -> Self {
-        let splits = configuration.routes().map(|route| {
-            let weights = route.targets.iter().map(|target| target.weight);
-            (Arc::clone(&route.name), WeightedSplit::new(weights, rand::random()))
-        });
-        let splits = splits.collect();
-        Self { configuration, splits }
-    }
-
-    fn target(&self, route: &HostRoute) -> Option<ServiceName> {
-        let index = self.splits.get(&route.name)?.next();
-        route.targets.get(index).map(|target| target.service.clone())
-    }
-}
-
-/// Configuration of a node. Never goes back to an older version.
-pub(crate) struct ConfigurationHolder {
-    log: Logger,
-    in_force: ArcSwapOption<InForce>,
-    version: AtomicU64,
-}
-
-impl ConfigurationHolder {
-    pub(crate) fn new(log: Logger) -> Self {
-        Self { log, in_force: ArcSwapOption::empty(), version: AtomicU64::new(0) }
-    }
-
-    pub(crate) fn version(&self) -> u64 {
-        self.version.load(Ordering::Acquire)
-    }
-
-    pub(crate) fn load(&self) -> Option<Arc<InForce>> {
-        self.in_force.load_full()
-    }
-
-    /// Puts a configuration in force unless a newer one is. Returns whether it did.
-    pub(crate) fn apply(&self, configuration: Configuration) -> bool {
-        let version = configuration.version();
-        if version <= self.version() {
-            return false;
-        }
-        self.in_force.store(Some(Arc::new(InForce::new(configuration))));
-        self.version.store(version, Ordering::Release);
-        info!(self.log, "configuration-in-force"; "version" => version);
-        true
-    }
-}
-
 /// Handler of the caller listener.
 pub(crate) struct CallerHandler<D> {
     pub(crate) dialect: Arc<D>,
@@ -123,7 +67,7 @@
         let route = find_route(&in_force.configuration, host, path);
         let route = route.ok_or_else(|| Failure::not_run(Reason::UnknownRoute))?;
         let service =
-            in_force.target(route).ok_or_else(|| Failure::not_run(Reason::UnknownRoute))?;
+            in_force.next_service(route).ok_or_else(|| Failure::not_run(Reason::UnknownRoute))?;
         let upstreams = &self.dispatcher.ingress.upstreams;
         let ingress = &self.dispatcher.ingress;
         let lineage = facts.request_id.as_ref().and_then(|id| ingress.lineage(id));
--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -1,6 +1,5 @@
 //! Guards the upstream beside the node: admission, then dispatch.
 
-use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -23,6 +22,7 @@
 use crate::links::{Lease, LinkError, Links, Reuse};
 use crate::metrics::Metrics;
 use crate::request_log::RequestLog;
+use crate::running_ids::{Lineage, RunningIds};
 use crate::upstream::{ReportEffect, ServingUpstream, UpstreamRegistry};
 
 /// Divisor of the slots of a cold upstream that other nodes are told of: it takes about twice as long
@@ -303,51 +303,6 @@
     }
 }
 
-/// What a call inherits from the request that it is made for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct Lineage {
-    pub(crate) rank: u32,
-    pub(crate) order: u32,
-}
-
-/// Ids of the requests that the upstream is running.
-#[derive(Debug, Default)]
-struct RunningIds {
-    ids: Mutex<HashMap<HeaderValue, Lineage>>,
-}
-
-impl RunningIds {
-    /// Enters an id until the guard is dropped.
-    fn enter(ids: &Arc<Self>, id: Option<&HeaderValue>, lineage: Lineage) -> RunningGuard {
-        if let Some(id) = id {
-            ids.lock().insert(id.clone(), lineage);
-        }
-        RunningGuard { ids: Arc::clone(ids), id: id.cloned() }
-    }
-
-    fn find(&self, id: &[u8]) -> Option<Lineage> {
-        let id = HeaderValue::from_bytes(id).ok()?;
-        self.lock().get(&id).copied()
-    }
-
-    fn lock(&self) -> MutexGuard<'_, HashMap<HeaderValue, Lineage>> {
-        self.ids.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
-struct RunningGuard {
-    ids: Arc<RunningIds>,
-    id: Option<HeaderValue>,
-}
-
-impl Drop for RunningGuard {
-    fn drop(&mut self) {
-        if let Some(id) = &self.id {
-            self.ids.lock().remove(id);
-        }
-    }
-}
-
 /// Reads an answer as far as it is held; the rest streams.
 async fn take_answer(
     response: Response<Incoming>,
--- a/crates/mesh/src/server.rs
+++ b/crates/mesh/src/server.rs
@@ -14,7 +14,8 @@
 use tokio::task::JoinSet;
 
 use crate::attachment::{Attachment, AttachmentParts, SharedControls};
-use crate::caller::{CallerHandler, ConfigurationHolder};
+use crate::caller::CallerHandler;
+use crate::configuration_holder::ConfigurationHolder;
 use crate::dialect::Dialect;
 use crate::dispatch::Dispatcher;
 use crate::endpoints::Endpoints;
--- a/crates/mesh/src/upstream_listener.rs
+++ b/crates/mesh/src/upstream_listener.rs
@@ -9,7 +9,7 @@
 use slog::{Logger, warn};
 
 use crate::body::AnswerBody;
-use crate::caller::ConfigurationHolder;
+use crate::configuration_holder::ConfigurationHolder;
 use crate::dialect::{Dialect, UpstreamCall, UpstreamPhase};
 use crate::ingress::Ingress;
 use crate::listener::{Handler, InboundBody, status_only};
