--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -33,6 +33,7 @@
         AnswerVerdict, Dialect, DispatchFacts, DocumentError, InstanceId, RequestFacts,
         UpstreamCall, UpstreamPhase, UpstreamReport,
     },
-    server::{ServerError, run},
+    metrics::metric_names,
+    server::{MetricsError, ServerError, run},
     settings::{MeshSettings, SettingsSource},
 };
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -7,6 +7,19 @@
 /// Upper bounds of the latency buckets, in seconds: from a short call to the longest deadlines.
 const LATENCY_BUCKETS_S: &[f64] = &[0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0];
 
+/// Prefix of every metric.
+const PREFIX: &str = "heatherweir_mesh_";
+
+/// Returns the name of every metric, without the prefix.
+///
+/// # Errors
+///
+/// Returns an error if a metric cannot be registered.
+pub fn metric_names() -> Result<Vec<String>, MetricsError> {
+    let families = Metrics::new()?.registry.gather();
+    Ok(families.iter().map(|family| family.name().replacen(PREFIX, "", 1)).collect())
+}
+
 /// Counters and latencies of a node.
 pub(crate) struct Metrics {
     registry: Registry,
@@ -32,12 +45,12 @@
     pub(crate) fn new() -> Result<Self, MetricsError> {
         let registry = Registry::new();
         let counter = |name: &str, help: &str| -> Result<IntCounter, MetricsError> {
-            let counter = IntCounter::new(format!("heatherweir_mesh_{name}"), help)?;
+            let counter = IntCounter::new(format!("{PREFIX}{name}"), help)?;
             registry.register(Box::new(counter.clone()))?;
             Ok(counter)
         };
         let latency = Histogram::with_opts(
-            HistogramOpts::new("heatherweir_mesh_latency_seconds", "Time to a caller's answer")
+            HistogramOpts::new(format!("{PREFIX}latency_seconds"), "Time to a caller's answer")
                 .buckets(LATENCY_BUCKETS_S.to_vec()),
         )?;
         registry.register(Box::new(latency.clone()))?;
