--- a/crates/mesh/src/caller.rs
+++ b/crates/mesh/src/caller.rs
@@ -2,16 +2,15 @@
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
+use http::request::Parts;
 use http::{HeaderValue, Request, Response, StatusCode, header};
-use indexmap::IndexMap;
-use model::{Configuration, HostRoute, Outcome, Reason, ServiceName};
+use model::{CallerLimits, Configuration, HostRoute, Outcome, Reason, ServiceName};
 use policy::US_PER_MS;
-use policy::pressure::EntryThrottle;
 use policy::retry_after;
-use policy::slots::{KindKey, Standing};
+use policy::slots::Standing;
 use slog::info;
 
 use crate::body::{AnswerBody, BodyError, CallBody};
@@ -19,6 +18,7 @@
 use crate::configuration_holder::ConfigurationHolder;
 use crate::dialect::{Dialect, RequestFacts};
 use crate::dispatch::Dispatcher;
+use crate::entry_throttles::{EntryThrottles, NewRequest};
 use crate::failure::Failure;
 use crate::ingress::{Answer, forwarded_headers};
 use crate::listener::{ConnectionLimits, Handler, InboundBody};
@@ -37,8 +37,7 @@
     pub(crate) dialect: Arc<D>,
     pub(crate) dispatcher: Arc<Dispatcher<D>>,
     pub(crate) configuration: Arc<ConfigurationHolder>,
-    /// Throttles by kind of route, kept over changes of the configuration.
-    pub(crate) throttles: Mutex<IndexMap<KindKey, EntryThrottle>>,
+    pub(crate) throttles: EntryThrottles,
     /// Service named in the settings, until the upstream has reported itself.
     pub(crate) service: ServiceName,
 }
@@ -55,28 +54,44 @@
         let in_force =
             self.configuration.load().ok_or_else(|| Failure::not_run(Reason::NoProfile))?;
         let limits = in_force.configuration.limits();
-        let head_bytes: usize =
-            parts.headers.iter().map(|(name, value)| name.as_str().len() + value.len() + 4).sum();
-        if head_bytes as u64 > limits.max_header_bytes {
-            return Err(Failure::not_run(Reason::HeadersTooLarge));
-        }
-        let host = parts.headers.get(header::HOST).and_then(|host| host.to_str().ok());
-        let host = host.or_else(|| parts.uri.authority().map(|authority| authority.as_str()));
-        let host = host.ok_or_else(|| Failure::not_run(Reason::BadRequest))?;
-        let path = parts.uri.path();
-        let route = find_route(&in_force.configuration, host, path);
-        let route = route.ok_or_else(|| Failure::not_run(Reason::UnknownRoute))?;
+        let route = find_route(&in_force.configuration, &parts, limits)?;
         let service =
             in_force.next_service(route).ok_or_else(|| Failure::not_run(Reason::UnknownRoute))?;
-        let upstreams = &self.dispatcher.ingress.upstreams;
+        let head = self.call_head(parts, facts, route, service, started_us);
+        let body = CallBody::read(incoming, limits.max_body_bytes).await;
+        let body = body.map_err(|error| {
+            Failure::not_run(match error {
+                BodyError::TooLarge => Reason::BodyTooLarge,
+                BodyError::Transport(_) => Reason::TruncatedRequest,
+            })
+        })?;
+        let result = match head.standing {
+            Standing::Begun(_) => self.run_begun(head, body, route).await,
+            Standing::Entry(rank) => self.run_entry(head, body, route, rank, remote).await,
+        };
+        let elapsed_us = self.dispatcher.clock.now_us().saturating_sub(started_us);
+        if result.is_ok() && route.objective_ms.is_some_and(|ms| elapsed_us > ms * US_PER_MS) {
+            self.log_late(facts, route, elapsed_us);
+        }
+        result
+    }
+
+    fn call_head(
+        &self,
+        parts: Parts,
+        facts: &RequestFacts,
+        route: &HostRoute,
+        service: ServiceName,
+        started_us: u64,
+    ) -> CallHead {
         let ingress = &self.dispatcher.ingress;
         let lineage = facts.request_id.as_ref().and_then(|id| ingress.lineage(id));
         let (standing, order) = match lineage {
             Some(Lineage { rank, order }) => (Standing::Begun(rank), order),
             None => (Standing::Entry(route.rank), rand::random()),
         };
-        let caller = upstreams.service().unwrap_or_else(|| self.service.clone());
-        let head = CallHead {
+        let caller = ingress.upstreams.service().unwrap_or_else(|| self.service.clone());
+        CallHead {
             service,
             caller: Arc::from(caller.as_str()),
             method: parts.method,
@@ -89,23 +104,7 @@
             repeatability: route.repeatability,
             deadline_us: started_us + time_left(facts, route).as_micros() as u64,
             max_wait_us: max_wait_us(standing, route),
-        };
-        let body = CallBody::read(incoming, limits.max_body_bytes).await;
-        let body = body.map_err(|error| {
-            Failure::not_run(match error {
-                BodyError::TooLarge => Reason::BodyTooLarge,
-                BodyError::Transport(_) => Reason::TruncatedRequest,
-            })
-        })?;
-        let result = match head.standing {
-            Standing::Begun(_) => self.run_begun(head, body, route).await,
-            Standing::Entry(rank) => self.run_entry(head, body, route, rank, remote).await,
-        };
-        let elapsed_us = self.dispatcher.clock.now_us().saturating_sub(started_us);
-        if result.is_ok() && route.objective_ms.is_some_and(|ms| elapsed_us > ms * US_PER_MS) {
-            self.log_late(facts, route, elapsed_us);
         }
-        result
     }
 
     fn log_late(&self, facts: &RequestFacts, route: &HostRoute, elapsed_us: u64) {
@@ -144,37 +143,21 @@
         remote: SocketAddr,
     ) -> Result<Answer, Failure> {
         let kind = head.kind;
-        let caller = caller_digest(&head, remote);
+        let request = NewRequest { kind, rank, caller: caller_digest(&head, remote) };
         let now_us = self.dispatcher.clock.now_us();
         let pressure = self.dispatcher.endpoints.pressure(now_us, &head.service);
-        let is_admitted = {
-            let mut throttles = self.throttles();
-            let throttle = throttles.entry(kind).or_default();
-            throttle.admits(now_us, pressure, rank, caller)
-        };
-        if !is_admitted {
-            let wait = retry_after::THROTTLE_WAIT;
-            self.throttles().entry(kind).or_default().expect_return(
-                now_us,
-                caller,
-                wait.as_micros() as u64,
-            );
-            return Err(Failure::not_run(Reason::ShedByLevel).with_wait(wait));
-        }
+        self.throttles
+            .admit(request, pressure)
+            .map_err(|wait| Failure::not_run(Reason::ShedByLevel).with_wait(wait))?;
         let result = self.dispatcher.run(head, body, route.max_attempts).await;
         let has_failed = match &result {
             Ok(answer) => answer.status.is_server_error(),
             Err(failure) => failure.outcome == Outcome::Unknown,
         };
-        let now_us = self.dispatcher.clock.now_us();
-        self.throttles().entry(kind).or_default().record_end(now_us, has_failed);
+        self.throttles.record_end(kind, has_failed);
         result
     }
 
-    fn throttles(&self) -> MutexGuard<'_, IndexMap<KindKey, EntryThrottle>> {
-        self.throttles.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     fn log_failure(&self, facts: &RequestFacts, failure: &Failure, elapsed_us: u64) {
         let metrics = &self.dispatcher.metrics;
         let Some(log) = self.dispatcher.request_log.line(metrics) else { return };
@@ -264,16 +247,30 @@
     hasher.finish()
 }
 
-/// Finds a route by the host as sent, then without its port.
+/// Finds the route of a request by its host as sent, then without the port.
 fn find_route<'a>(
     configuration: &'a Configuration,
-    host: &str,
-    path: &str,
-) -> Option<&'a Arc<HostRoute>> {
-    configuration.find(host, path).or_else(|| {
-        let (name, _port) = host.rsplit_once(':')?;
-        configuration.find(name, path)
-    })
+    parts: &Parts,
+    limits: CallerLimits,
+) -> Result<&'a Arc<HostRoute>, Failure> {
+    let refuse = |reason| Failure::not_run(reason);
+    /// Colon, space and line end of a header.
+    const SEPARATOR_BYTES: usize = 4;
+    let head_bytes: usize = parts
+        .headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len() + SEPARATOR_BYTES)
+        .sum();
+    if head_bytes as u64 > limits.max_header_bytes {
+        return Err(refuse(Reason::HeadersTooLarge));
+    }
+    let host = parts.headers.get(header::HOST).and_then(|host| host.to_str().ok());
+    let host = host.or_else(|| parts.uri.authority().map(|authority| authority.as_str()));
+    let host = host.ok_or_else(|| refuse(Reason::BadRequest))?;
+    let path = parts.uri.path();
+    let without_port = || configuration.find(host.rsplit_once(':')?.0, path);
+    let route = configuration.find(host, path).or_else(without_port);
+    route.ok_or_else(|| refuse(Reason::UnknownRoute))
 }
 
 fn time_left(facts: &RequestFacts, route: &HostRoute) -> Duration {
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -14,6 +14,7 @@
 mod dialect;
 mod dispatch;
 mod endpoints;
+mod entry_throttles;
 mod failure;
 mod gate;
 mod ingress;
--- a/crates/mesh/src/server.rs
+++ b/crates/mesh/src/server.rs
@@ -19,6 +19,7 @@
 use crate::dialect::Dialect;
 use crate::dispatch::Dispatcher;
 use crate::endpoints::Endpoints;
+use crate::entry_throttles::EntryThrottles;
 use crate::ingress::Ingress;
 use crate::links::Links;
 use crate::listener;
@@ -164,7 +165,7 @@
             dialect: Arc::clone(&self.dialect),
             dispatcher: Arc::clone(&self.dispatcher),
             configuration: Arc::clone(&self.configuration),
-            throttles: Mutex::default(),
+            throttles: EntryThrottles::new(self.dispatcher.clock),
             service: settings.service.clone(),
         };
         let peer_handler = PeerHandler::new(self.dispatcher.clock, Arc::clone(&self.ingress));
