--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -62,7 +62,7 @@
         Self { clock, state: Arc::new(Mutex::new(state)), queued: Arc::default() }
     }
 
-    /// Starts anew for another upstream process. Calls of the old one free slots that do not exist.
+    /// Takes the slots that the upstream announces.
     pub(crate) fn set_slots(&self, slots: u32) {
         self.lock().slots.set_announced(slots);
     }
--- a/crates/mesh/src/server.rs
+++ b/crates/mesh/src/server.rs
@@ -8,7 +8,7 @@
 use control_link::ControlLink;
 use daemon::Clock;
 use quick_error::quick_error;
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
@@ -160,7 +160,15 @@
         let peers = TcpListener::bind(settings.peer_listen).await?;
         let upstream = TcpListener::bind(settings.upstream_listen).await?;
         let ready = TcpListener::bind(settings.ready_listen).await?;
-        let metrics = TcpListener::bind(settings.metrics_listen).await?;
+        // Requests are served also where the metrics cannot be.
+        let metrics = match TcpListener::bind(settings.metrics_listen).await {
+            Ok(listener) => Some(listener),
+            Err(error) => {
+                warn!(self.log, "metrics-unavailable"; "address" => %settings.metrics_listen,
+                    "error" => %error);
+                None
+            }
+        };
         let caller_handler = CallerHandler {
             dialect: Arc::clone(&self.dialect),
             dispatcher: Arc::clone(&self.dispatcher),
@@ -186,7 +194,9 @@
         tasks.spawn(listener::serve(log(), peers, Arc::new(peer_handler), stop()));
         tasks.spawn(listener::serve(log(), upstream, Arc::new(upstream_handler), stop()));
         tasks.spawn(listener::serve(log(), ready, Arc::new(ready_handler), stop()));
-        tasks.spawn(listener::serve(log(), metrics, Arc::new(metrics_handler), stop()));
+        if let Some(metrics) = metrics {
+            tasks.spawn(listener::serve(log(), metrics, Arc::new(metrics_handler), stop()));
+        }
         Ok(tasks)
     }
 
