Answer unknown for work that a log entry claims which is not known to be committed

Cause: without a quorum a replica looked a key up in its applied ledger only. Ruled out: a lookup at the frozen replicas; they cannot answer. Change: the lookup reads the uncommitted tail of the log too, and a replica that passes a claim on to the leader answers once its own log holds it, for 50 ms at most, with a log line if it does not.

--- a/crates/consensus/src/raft.rs
+++ b/crates/consensus/src/raft.rs
@@ -178,6 +178,11 @@
         self.log.last_index()
     }
 
+    /// Returns the entries of the log that are not known to be committed.
+    pub fn uncommitted(&self) -> &[Entry] {
+        self.log.slice(self.commit_index + 1, usize::MAX)
+    }
+
     /// Returns the last index that the snapshot covers.
     pub fn snapshot_index(&self) -> Index {
         self.log.snapshot().index
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -231,7 +231,7 @@
                 let _ = reply.send(is_admitted);
             }
             Input::LookUp { key, holder, reply } => {
-                let _ = reply.send(self.state.claims().lookup(&key, holder));
+                let _ = reply.send(self.look_up(&key, holder));
             }
             Input::Form { membership } => self.form(membership),
             Input::Stop => {}
@@ -254,6 +254,19 @@
         }
     }
 
+    fn look_up(&self, key: &ClaimKey, holder: u64) -> Option<ClaimResult> {
+        let uncommitted = self.raft.uncommitted().iter().filter_map(|entry| match &entry.payload {
+            Payload::Command(bytes) => Some(bytes.as_slice()),
+            _ => None,
+        });
+        let found = self.state.look_up(uncommitted, key, holder);
+        found.unwrap_or_else(|error| {
+            error!(self.log, "claim-unreadable"; "key" => &key.key, "error" => %error);
+            // An entry that cannot be read may hold the claim.
+            Some(ClaimResult::Unknown)
+        })
+    }
+
     /// Persists, sends and applies until nothing is left to do.
     fn advance(&mut self) -> Result<(), ReplicaError> {
         loop {
--- a/crates/control/src/service/claim_service.rs
+++ b/crates/control/src/service/claim_service.rs
@@ -8,6 +8,7 @@
 use rpc::{
     ClaimReply, ClaimRequest, ClaimStatus, Header, SettleReply, SettleRequest, StoredAnswer,
 };
+use slog::warn;
 use tokio::sync::oneshot;
 use tonic::{Request, Response, Status};
 
@@ -20,6 +21,9 @@
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(300);
 /// Age of the contact with a quorum from which a claim is refused at once.
 const MAX_CONTACT_AGE_US: u64 = 1_000_000;
+/// Longest wait for the own copy of a claim that the leader granted; a few times the way of an append.
+const MAX_OWN_COPY_WAIT: Duration = Duration::from_millis(50);
+const OWN_COPY_POLL: Duration = Duration::from_millis(2);
 
 pub(super) struct ClaimService {
     shared: Shared,
@@ -39,14 +43,36 @@
     async fn claim_at_leader(&self, request: ClaimRequest) -> ClaimReply {
         match self.shared.leader_channel() {
             Some(channel) if !request.is_forwarded => {
+                let (key, holder) = (claim_key(&request), request.holder);
                 let forwarded = ClaimRequest { is_forwarded: true, ..request };
                 let reply = ClaimsClient::new(channel).claim(forwarded).await;
-                reply.map_or_else(|_| no_quorum(), Response::into_inner)
+                let reply = reply.map_or_else(|_| no_quorum(), Response::into_inner);
+                if reply.status() == ClaimStatus::Granted {
+                    self.wait_for_own_copy(key, holder).await;
+                }
+                reply
             }
             _ => self.claim_here(request).await,
         }
     }
 
+    /// Waits until the own log holds a granted claim too.
+    ///
+    /// A quorum without this replica may have committed it. If the others are lost next, this replica is
+    /// the one that is asked about the key.
+    async fn wait_for_own_copy(&self, key: ClaimKey, holder: u64) {
+        let other_holder = !holder;
+        let copied = async {
+            while self.look_up(key.clone(), other_holder).await.is_none() {
+                tokio::time::sleep(OWN_COPY_POLL).await;
+            }
+        };
+        if tokio::time::timeout(MAX_OWN_COPY_WAIT, copied).await.is_err() {
+            let log = &self.shared.log;
+            warn!(log, "claim-not-copied"; "key" => &key.key, "waited_ms" => MAX_OWN_COPY_WAIT.as_millis());
+        }
+    }
+
     /// Answers from the own ledger what is certain without a quorum: that work was claimed before.
     async fn look_up(&self, key: ClaimKey, holder: u64) -> Option<ClaimReply> {
         let (reply, answer) = oneshot::channel();
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -5,7 +5,7 @@
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
 
-use crate::claims::{Claim, ClaimLedger, ClaimResult, Settle};
+use crate::claims::{Claim, ClaimKey, ClaimLedger, ClaimResult, Settle};
 use crate::configurations::{ConfigurationChange, ConfigurationResult, ConfigurationTable};
 use crate::profiles::{Change, ChangeResult, ProfileTable};
 
@@ -141,6 +141,42 @@
         Ok(applied)
     }
 
+    /// Returns what is certain of a claim without a quorum.
+    ///
+    /// `uncommitted` are the encoded commands that follow the applied ones in the log. Any of them may
+    /// have been committed elsewhere, so work that they claim for another holder may have run.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the bytes are not a command.
+    pub fn look_up<'a>(
+        &self,
+        uncommitted: impl IntoIterator<Item = &'a [u8]>,
+        key: &ClaimKey,
+        holder: u64,
+    ) -> Result<Option<ClaimResult>, StateError> {
+        if let Some(result) = self.claims.lookup(key, holder) {
+            return Ok(Some(result));
+        }
+        let mut other_holder = None;
+        for command in uncommitted {
+            match postcard::from_bytes(command)? {
+                Command::Claim(claim) if claim.key == *key && claim.holder != holder => {
+                    other_holder = Some(claim.holder);
+                }
+                Command::Settle(settle)
+                    if settle.key == *key
+                        && settle.answer.is_none()
+                        && Some(settle.holder) == other_holder =>
+                {
+                    other_holder = None;
+                }
+                _ => {}
+            }
+        }
+        Ok(other_holder.map(|_| ClaimResult::Unknown))
+    }
+
     /// Returns the profiles.
     pub fn profiles(&self) -> &Arc<ProfileTable> {
         &self.profiles
--- a/crates/control/tests/ledger.rs
+++ b/crates/control/tests/ledger.rs
@@ -162,3 +162,45 @@
     assert_eq!(restored.profiles(), state.profiles());
     assert_eq!(restored.claims(), state.claims());
 }
+
+/// Looks a claim of holder 8 up while these commands follow the applied ones.
+#[track_caller]
+fn check_uncommitted(commands: &[Command], expected: Option<ClaimResult>) {
+    let encoded: Vec<_> =
+        commands.iter().map(|command| command.encode().expect("it can be encoded")).collect();
+    let uncommitted = encoded.iter().map(Vec::as_slice);
+    let found = State::default().look_up(uncommitted, &key(1), 8).expect("it can be read");
+    assert_eq!(found, expected);
+}
+
+macro_rules! uncommitted {
+    ($($name:ident: $commands:expr => $expected:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                check_uncommitted(&$commands, $expected);
+            }
+        )*
+    };
+}
+
+uncommitted! {
+    uncommitted_claim_of_another_holder_is_unknown:
+        [Command::Claim(claim(1, 7, 1_000))] => Some(ClaimResult::Unknown);
+    uncommitted_claim_of_the_same_holder_is_no_earlier_work:
+        [Command::Claim(claim(1, 8, 1_000))] => None;
+    uncommitted_claim_of_another_key_says_nothing:
+        [Command::Claim(claim(2, 7, 1_000))] => None;
+    uncommitted_release_ends_the_claim: [
+        Command::Claim(claim(1, 7, 1_000)),
+        Command::Settle(Settle { key: key(1), holder: 7, answer: None }),
+    ] => None;
+    uncommitted_release_by_a_stranger_ends_nothing: [
+        Command::Claim(claim(1, 7, 1_000)),
+        Command::Settle(Settle { key: key(1), holder: 9, answer: None }),
+    ] => Some(ClaimResult::Unknown);
+    uncommitted_answer_keeps_the_claim: [
+        Command::Claim(claim(1, 7, 1_000)),
+        Command::Settle(Settle { key: key(1), holder: 7, answer: Some(answer()) }),
+    ] => Some(ClaimResult::Unknown);
+}
