Send a change again that no quorum confirmed, and let go of a leader that was replaced

Change: the client sends the change again under its id for four seconds; a replica ends its wait when it follows another leader. Tried and taken back: a second round over the endpoints after a lost connection; the allowance that was lent across a silent connection is not given back, so that no attempt is left for it.

--- a/crates/control/src/service/profile_service.rs
+++ b/crates/control/src/service/profile_service.rs
@@ -21,6 +21,7 @@
 /// Time that an accepted change has to be in force everywhere.
 const IN_FORCE_TIMEOUT: Duration = Duration::from_secs(5);
 const IN_FORCE_POLL: Duration = Duration::from_millis(50);
+const LEADER_POLL: Duration = Duration::from_millis(50);
 const STATUS_TIMEOUT: Duration = Duration::from_millis(500);
 const COMMIT_TIMEOUT: Duration = Duration::from_secs(3);
 const MAX_CHANGE_ID_BYTES: usize = 128;
@@ -96,6 +97,18 @@
         }
     }
 
+    /// Waits until the replica follows another leader than now.
+    async fn leader_changed(&self) {
+        let leader = self.shared.replica.view().leader;
+        loop {
+            tokio::time::sleep(LEADER_POLL).await;
+            let current = self.shared.replica.view().leader;
+            if current.is_some() && current != leader {
+                return;
+            }
+        }
+    }
+
     async fn answer(&self, name: &str, result: ChangeResult) -> ChangeReply {
         match result {
             ChangeResult::Applied { version, revision } => {
@@ -221,8 +234,12 @@
                 let forwarded = ChangeRequest { is_forwarded: true, ..request };
                 let limit = COMMIT_TIMEOUT + IN_FORCE_TIMEOUT + STATUS_TIMEOUT;
                 let mut client = ProfilesClient::new(channel);
-                match tokio::time::timeout(limit, client.change(forwarded)).await {
-                    Ok(Ok(reply)) => Ok(reply),
+                let answered = tokio::select! {
+                    answered = tokio::time::timeout(limit, client.change(forwarded)) => answered.ok(),
+                    () = self.leader_changed() => None,
+                };
+                match answered {
+                    Some(Ok(reply)) => Ok(reply),
                     _ => Ok(Response::new(reply(
                         ChangeOutcome::NoQuorum,
                         "the leader does not answer; send it again with the same change id",
--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -1,7 +1,8 @@
 //! Blocking client of the operators' interface.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::thread;
+use std::time::{Duration, Instant};
 
 use rpc::profiles_client::ProfilesClient;
 use rpc::{
@@ -19,6 +20,9 @@
 const READ_TIMEOUT: Duration = Duration::from_secs(5);
 /// Longer than the time that control waits for a change to be in force.
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(12);
+/// Time for which a change that no quorum confirmed is sent again: a few elections.
+const RESEND_LIMIT: Duration = Duration::from_secs(4);
+const RESEND_PAUSE: Duration = Duration::from_millis(100);
 
 /// Client that asks each replica in turn until one answers.
 pub struct OperatorClient {
@@ -88,12 +92,26 @@
         })
     }
 
-    /// Sends a change whose id the caller chose.
+    /// Sends a change whose id the caller chose, again for a while if no quorum confirmed it.
+    ///
+    /// The id makes sending it again safe: a change that was committed is answered, not repeated.
     ///
     /// # Errors
     ///
     /// Returns an error unless the change is in force everywhere.
     pub fn change(&self, request: ChangeRequest) -> Result<u64, CtlError> {
+        let started = Instant::now();
+        loop {
+            let result = self.change_once(&request);
+            let is_unconfirmed = matches!(result, Err(CtlError::Unreachable(_)));
+            if !is_unconfirmed || started.elapsed() > RESEND_LIMIT {
+                return result;
+            }
+            thread::sleep(RESEND_PAUSE);
+        }
+    }
+
+    fn change_once(&self, request: &ChangeRequest) -> Result<u64, CtlError> {
         let name = request.name.clone();
         let reply = self.first(CHANGE_TIMEOUT, |channel| {
             let request = request.clone();
--- a/crates/testbed/src/relay.rs
+++ b/crates/testbed/src/relay.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -33,6 +33,7 @@
     opened: AtomicU64,
     /// A third of the connections with a lower number are silent.
     silent_below: AtomicU64,
+    slowest_lookup_us: AtomicU64,
 }
 
 impl Links {
@@ -59,6 +60,13 @@
         self.silent_below.store(self.opened.load(Ordering::Relaxed), Ordering::Relaxed);
     }
 
+    /// Returns the longest time that a connection waited for its source to be found.
+    ///
+    /// A connection that waits for longer than its ends wait for a sign of life is lost to them.
+    pub fn slowest_lookup(&self) -> Duration {
+        Duration::from_micros(self.slowest_lookup_us.load(Ordering::Relaxed))
+    }
+
     /// Tells where a process runs.
     pub fn register(&self, pid: u32, place: &str) {
         self.processes().push((pid, place.to_owned()));
@@ -220,8 +228,10 @@
         let (Ok(peer), Ok(local)) = (stream.peer_addr(), stream.local_addr()) else {
             return Place::new();
         };
-        let links = Arc::clone(links);
-        let found = tokio::task::spawn_blocking(move || links.place_of(peer, local)).await;
+        let started = Instant::now();
+        let looking = Arc::clone(links);
+        let found = tokio::task::spawn_blocking(move || looking.place_of(peer, local)).await;
+        links.slowest_lookup_us.fetch_max(started.elapsed().as_micros() as u64, Ordering::Relaxed);
         found.unwrap_or_default()
     }
 }
--- a/crates/testbed/tests/links.rs
+++ b/crates/testbed/tests/links.rs
@@ -82,7 +82,7 @@
     }
     for _ in 0..20 {
         let reply = caller.get(entry, "/pages/1").expect("the read is answered");
-        assert_eq!(reply.status, 200, "{reply:?}");
+        assert_eq!(reply.status, 200, "{reply:?}, lookup {:?}", links.slowest_lookup());
     }
     let reply = caller.charge(entry, "/purchases/1", "cut").expect("the refusal is answered");
     assert_ne!(reply.status, 200, "{reply:?}");
--- a/crates/testbed/tests/state.rs
+++ b/crates/testbed/tests/state.rs
@@ -84,6 +84,23 @@
     }
 }
 
+#[test]
+fn change_through_one_replica_outlasts_a_frozen_leader() {
+    let cluster = controls();
+    let leader = cluster.leader().expect("there is a leader");
+    let follower = (leader + 1) % cluster.controls.len();
+    cluster.controls[leader].process.freeze().expect("the leader freezes");
+    // The follower does not know yet that its leader is lost.
+    let result =
+        operator(cluster.controls[follower].address).apply("outlasting", 0, &text("outlasting", 1));
+    let place = cluster.controls[leader].data_centre.clone();
+    cluster.controls[leader].process.thaw().expect("the replica continues");
+    match result {
+        Err(CtlError::Pending(_, 1, pending)) => assert_eq!(pending, [place]),
+        other => panic!("a change without the old leader was called {other:?}"),
+    }
+}
+
 #[test]
 fn resent_change_gets_its_first_answer_and_is_applied_once() {
     let mut cluster = controls();
