Send nodes the newest configuration only, packed once for all of them

A replica sent each of its 20 to 45 nodes every version of 57 KB in full, through a queue of 16 updates and a window of 2 MB. In a storm of changes (one in 0.25 s) versions queued up, and nodes took one in 0.35 s. Ruled out: a node on a lost replica (none was lost at that time), directory traffic (its revision stays). Change: a text is packed (zlib, fast) once for each version; one update waits for a node and the window is 64 KB, so that a slow node skips versions. The log names the size of each change.

--- a/crates/control-link/src/lib.rs
+++ b/crates/control-link/src/lib.rs
@@ -24,6 +24,9 @@
 const PING_INTERVAL: Duration = Duration::from_secs(1);
 const PING_TIMEOUT: Duration = Duration::from_secs(1);
 const QUEUE_REPORTS: usize = 16;
+/// Bytes of updates on their way to a node. What does not fit waits in the replica, where a newer
+/// configuration replaces it. Enough for any link inside a region at its round-trip time.
+const WINDOW_BYTES: u32 = 64 * 1024;
 /// Silence after which a stream counts as lost; control sends twice a second.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Age of a replica's contact with its quorum from which another one is preferred: above an election
@@ -154,16 +157,27 @@
     }
 }
 
-async fn open(
-    address: SocketAddr,
-    reports: mpsc::Receiver<NodeReport>,
-) -> Result<Streaming<ControlUpdate>, Status> {
-    let endpoint = Endpoint::from_shared(format!("http://{address}"))
-        .map_err(|error| Status::from_error(error.into()))?
+/// Returns how a node connects to a replica.
+///
+/// # Errors
+///
+/// Returns an error if the address makes no URI.
+pub fn endpoint(address: SocketAddr) -> Result<Endpoint, tonic::transport::Error> {
+    let endpoint = Endpoint::from_shared(format!("http://{address}"))?
         .connect_timeout(CONNECT_TIMEOUT)
         .http2_keep_alive_interval(PING_INTERVAL)
         .keep_alive_timeout(PING_TIMEOUT)
+        .initial_stream_window_size(WINDOW_BYTES)
+        .initial_connection_window_size(WINDOW_BYTES)
         .tcp_nodelay(true);
+    Ok(endpoint)
+}
+
+async fn open(
+    address: SocketAddr,
+    reports: mpsc::Receiver<NodeReport>,
+) -> Result<Streaming<ControlUpdate>, Status> {
+    let endpoint = endpoint(address).map_err(|error| Status::from_error(error.into()))?;
     let channel = endpoint.connect_lazy();
     let mut client = DirectoryClient::new(channel).max_decoding_message_size(usize::MAX);
     Ok(client.attach(ReceiverStream::new(reports)).await?.into_inner())
--- a/crates/control-link/tests/isolation.rs
+++ b/crates/control-link/tests/isolation.rs
@@ -6,7 +6,7 @@
 
 use control_link::{AttachedNode, ControlLink};
 use rpc::directory_server::{Directory, DirectoryServer};
-use rpc::{ConfigurationRecord, ControlUpdate, NodeReport};
+use rpc::{ControlUpdate, NodeReport, PackedConfiguration};
 use slog::{Discard, Logger, o};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
@@ -44,7 +44,7 @@
             }
             loop {
                 let configuration = (replica == Replica::Healthy)
-                    .then(|| ConfigurationRecord { version: 9, text: "".into() });
+                    .then(|| PackedConfiguration { version: 9, packed_text: "".into() });
                 let update =
                     ControlUpdate { contact_age_ms, configuration, ..ControlUpdate::default() };
                 if updates.send(Ok(update)).await.is_err() {
--- a/crates/control/src/configuration_store.rs
+++ b/crates/control/src/configuration_store.rs
@@ -85,7 +85,8 @@
         let answer = tokio::time::timeout(COMMIT_TIMEOUT, attempts).await;
         let answer = answer.map_err(|_| StoreError::NoQuorum);
         info!(self.shared.log, "configuration-put"; "version" => change.version,
-            "base_version" => change.base_version, "outcome" => ?answer);
+            "base_version" => change.base_version, "text_bytes" => change.text.len(),
+            "outcome" => ?answer);
         answer
     }
 
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -11,19 +11,20 @@
 
 use consensus::Role;
 use daemon::Clock;
-use rpc::SyncDirectoryRequest;
 use rpc::claims_server::ClaimsServer;
 use rpc::configurations_server::ConfigurationsServer;
 use rpc::directory_server::DirectoryServer;
 use rpc::profiles_server::ProfilesServer;
 use rpc::replica_client::ReplicaClient;
 use rpc::replica_server::ReplicaServer;
-use slog::Logger;
+use rpc::{PackedConfiguration, SyncDirectoryRequest};
+use slog::{Logger, error};
 use tokio::sync::watch;
 use tonic::transport::server::Router;
 use tonic::transport::{Channel, Server};
 
 use crate::configuration_store::ConfigurationStore;
+use crate::configurations::ConfigurationVersion;
 use crate::directory::Directory;
 use crate::peers::Channels;
 use crate::replica::ReplicaHandle;
@@ -44,6 +45,8 @@
     pub(crate) directory_revision: watch::Sender<u64>,
     pub(crate) stop: watch::Receiver<bool>,
     pub(crate) channels: Arc<Channels>,
+    /// The newest configuration as nodes get it.
+    packed_configuration: Arc<Mutex<PackedConfiguration>>,
 }
 
 impl Shared {
@@ -64,6 +67,7 @@
             directory_revision: watch::channel(first_revision).0,
             stop,
             channels: Arc::new(Channels::default()),
+            packed_configuration: Arc::default(),
         }
     }
 
@@ -81,6 +85,25 @@
         });
     }
 
+    /// Returns a configuration as nodes get it, packed once for all of them.
+    pub(crate) fn packed_configuration(
+        &self,
+        current: &ConfigurationVersion,
+    ) -> Option<PackedConfiguration> {
+        let mut kept = self.packed_configuration.lock().unwrap_or_else(PoisonError::into_inner);
+        if kept.version != current.version {
+            match PackedConfiguration::pack(current.version, &current.text) {
+                Ok(packed) => *kept = packed,
+                Err(error) => {
+                    error!(self.log, "configuration-unpackable"; "version" => current.version,
+                        "error" => %error);
+                    return None;
+                }
+            }
+        }
+        Some(kept.clone())
+    }
+
     /// Opens a channel to the leader, unless this replica leads or none is known.
     pub(crate) fn leader_channel(&self) -> Option<Channel> {
         let view = self.replica.view();
--- a/crates/control/src/service/directory_service.rs
+++ b/crates/control/src/service/directory_service.rs
@@ -2,10 +2,9 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use indexmap::IndexMap;
 use rpc::directory_server::Directory;
-use rpc::{ConfigurationRecord, ControlUpdate, Endpoint, NodeReport, ProfileRecord, ProfileSet};
+use rpc::{ControlUpdate, Endpoint, NodeReport, PackedConfiguration, ProfileRecord, ProfileSet};
 use slog::{info, o};
 use tokio::sync::mpsc;
 use tokio_stream::wrappers::ReceiverStream;
@@ -15,7 +14,8 @@
 use crate::directory::Origin;
 use crate::profiles::ProfileTable;
 
-const QUEUE_UPDATES: usize = 16;
+/// One update waits for a node, so that a node which takes them slowly skips to the newest.
+const QUEUE_UPDATES: usize = 1;
 /// Pause between two messages that tell a node how long ago the replica heard from a quorum.
 const CONTACT_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -178,15 +178,15 @@
         Some(set)
     }
 
-    fn new_configuration(&mut self) -> Option<ConfigurationRecord> {
+    fn new_configuration(&mut self) -> Option<PackedConfiguration> {
         let view = self.shared.replica.view();
         let current = view.configurations.current()?;
         if current.version <= self.sent_configuration_version {
             return None;
         }
+        let packed = self.shared.packed_configuration(current)?;
         self.sent_configuration_version = current.version;
-        let text = Bytes::copy_from_slice(&current.text);
-        Some(ConfigurationRecord { version: current.version, text })
+        Some(packed)
     }
 
     async fn send(
--- a/crates/mesh/src/attachment.rs
+++ b/crates/mesh/src/attachment.rs
@@ -47,12 +47,20 @@
         Self { parts, learnt_controls: IndexSet::new(), incarnation: Clock::unix_us(), sequence: 0 }
     }
 
-    fn take_configuration(&self, record: &rpc::ConfigurationRecord) -> bool {
-        match self.parts.dialect.read_configuration(&record.text) {
+    fn take_configuration(&self, packed: &rpc::PackedConfiguration) -> bool {
+        let text = match packed.unpack() {
+            Ok(text) => text,
+            Err(fault) => {
+                error!(self.parts.log, "configuration-unreadable"; "version" => packed.version,
+                    "error" => %fault);
+                return false;
+            }
+        };
+        match self.parts.dialect.read_configuration(&text) {
             Ok(configuration) => self.parts.configuration.apply(configuration),
             Err(fault) => {
                 // Control accepts only what can be read, so a program of another version wrote this.
-                error!(self.parts.log, "configuration-unreadable"; "version" => record.version,
+                error!(self.parts.log, "configuration-unreadable"; "version" => packed.version,
                     "error" => %fault);
                 false
             }
@@ -130,7 +138,7 @@
                 false => self.parts.endpoints.upsert(endpoint),
             }
         }
-        update.configuration.is_some_and(|record| self.take_configuration(&record))
+        update.configuration.is_some_and(|packed| self.take_configuration(&packed))
     }
 
     fn report(&mut self) -> NodeReport {
--- a/crates/rpc/src/generated.rs
+++ b/crates/rpc/src/generated.rs
@@ -215,8 +215,8 @@
     #[prost(bool, tag = "5")]
     pub is_full: bool,
     /// Present when it is newer than the node's.
-    #[prost(message, optional, tag = "6")]
-    pub configuration: ::core::option::Option<ConfigurationRecord>,
+    #[prost(message, optional, tag = "8")]
+    pub configuration: ::core::option::Option<PackedConfiguration>,
     /// Inner addresses of the replicas, sent with each update.
     #[prost(string, repeated, tag = "7")]
     pub replica_addresses: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
@@ -230,6 +230,15 @@
     #[prost(bytes = "bytes", tag = "2")]
     pub text: ::prost::bytes::Bytes,
 }
+/// The newest accepted configuration as it is sent to many nodes.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PackedConfiguration {
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// The text as the operator sent it, compressed as a zlib stream.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub packed_text: ::prost::bytes::Bytes,
+}
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct PutConfigurationRequest {
     #[prost(uint64, tag = "1")]
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -6,7 +6,10 @@
 #[allow(missing_docs, clippy::all)]
 mod generated;
 
+mod packed;
+
 pub use generated::*;
+pub use packed::{MAX_TEXT_BYTES, UnpackError};
 
 /// Version of the inner protocols; peers with another version are refused.
 pub const PROTOCOL_VERSION: u32 = 1;
