Repeat calls on what was earned in calm, and reads that an upstream failed

An upstream's own 500 was passed on although the call may run again elsewhere. An answered 500 of a repeatable call goes to another VM unless the service is under pressure, and the first error is the answer if the other one fails too.

--- a/crates/mesh/src/body.rs
+++ b/crates/mesh/src/body.rs
@@ -118,6 +118,11 @@
 }
 
 impl AnswerBody {
+    /// Returns whether nothing of the body streams.
+    pub(crate) fn is_held(&self) -> bool {
+        self.rest.is_none()
+    }
+
     pub(crate) fn full(bytes: impl Into<Bytes>) -> Self {
         Self { held: Some(bytes.into()), rest: None }
     }
--- a/crates/mesh/src/dispatch.rs
+++ b/crates/mesh/src/dispatch.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use daemon::Clock;
+use http::StatusCode;
 use model::{Outcome, Reason, Repeatability, Vm, VmName};
 use policy::placement::PlacementResult;
 use policy::repeats::RepeatBounds;
@@ -29,6 +30,9 @@
 const ENTRY_REPEAT_COST: f64 = 3.0;
 /// Cost of repeating a call of a begun request.
 const BEGUN_REPEAT_COST: f64 = 1.0;
+/// Pressure at a service above which an answered error is not repeated. Calls that fail deeper down for
+/// want of room fail again, and a repeat makes all of them once more.
+const MAX_REPEAT_PRESSURE: f64 = 0.05;
 
 /// Sends calls to the VMs that run their service.
 pub(crate) struct Dispatcher<D> {
@@ -43,12 +47,14 @@
 }
 
 /// Attempts of one call so far.
-#[derive(Debug, Default)]
+#[derive(Default)]
 struct History {
     asked: Vec<VmName>,
     /// Attempts that may have reached an upstream.
     arrivals: u32,
     has_maybe_run: bool,
+    /// Error that an upstream answered, kept while another upstream is asked.
+    answered_error: Option<Answer>,
 }
 
 impl<D: Dialect> Dispatcher<D> {
@@ -59,20 +65,26 @@
         body: CallBody,
         max_attempts: u32,
     ) -> Result<Answer, Failure> {
-        if let Standing::Entry(_) = head.standing {
-            self.endpoints.record_request(&head.service, self.repeats);
-        }
+        self.endpoints.record_request(self.clock.now_us(), &head.service, self.repeats);
         let mut history = History::default();
         let mut body = body;
         loop {
             let now_us = self.clock.now_us();
             let chosen = self.endpoints.choose(now_us, &head.service, &history.asked);
             let Some(chosen) = chosen else {
-                return Err(history.seal(Failure::not_run(Reason::NoEndpoint)));
+                return history.give_up(Failure::not_run(Reason::NoEndpoint));
             };
             history.asked.push(chosen.vm.clone());
             let replay = body.replay();
             let failure = match self.attempt(&head, &chosen, body).await {
+                Ok(answer) if is_own_error(&answer) => {
+                    let pressure = self.endpoints.pressure(now_us, &head.service);
+                    if pressure > MAX_REPEAT_PRESSURE {
+                        return Ok(answer);
+                    }
+                    history.answered_error = Some(answer);
+                    Failure::unknown(Reason::UpstreamError)
+                }
                 Ok(answer) => return Ok(answer),
                 Err(failure) => failure,
             };
@@ -86,7 +98,7 @@
             let Some(next) =
                 replay.filter(|_| self.may_go_on(&head, &history, &failure, max_attempts))
             else {
-                return Err(history.seal(failure));
+                return history.give_up(failure);
             };
             body = next;
         }
@@ -157,15 +169,27 @@
 }
 
 impl History {
-    /// Keeps a last refusal from hiding that an earlier attempt may have run.
-    fn seal(&self, failure: Failure) -> Failure {
-        match self.has_maybe_run {
+    /// Ends the call with an upstream's own error, if there is one, or with the last failure.
+    ///
+    /// A last refusal does not hide that an earlier attempt may have run.
+    fn give_up(self, failure: Failure) -> Result<Answer, Failure> {
+        if let Some(answer) = self.answered_error {
+            return Ok(answer);
+        }
+        Err(match self.has_maybe_run {
             true => Failure { outcome: Outcome::Unknown, ..failure },
             false => failure,
-        }
+        })
     }
 }
 
+/// Returns whether an upstream answered with an error that another upstream may not have.
+///
+/// At its deadline an upstream answers with a time-out, which leaves no time for another attempt.
+fn is_own_error(answer: &Answer) -> bool {
+    answer.status == StatusCode::INTERNAL_SERVER_ERROR && answer.body.is_held()
+}
+
 /// Tells placement how an attempt ended, also when its future is dropped.
 struct AttemptTracker<'a, D: Dialect> {
     dispatcher: &'a Dispatcher<D>,
--- a/crates/mesh/src/endpoints.rs
+++ b/crates/mesh/src/endpoints.rs
@@ -205,14 +205,12 @@
         }
     }
 
-    /// Takes a caller's request for a service into account.
-    pub(crate) fn record_request(&self, service: &ServiceName, bounds: RepeatBounds) {
+    /// Takes a request for a service into account.
+    pub(crate) fn record_request(&self, now_us: u64, service: &ServiceName, bounds: RepeatBounds) {
         let mut table = self.lock();
         let nodes = table.vms.len();
-        if let Some(budget) =
-            table.services.get_mut(service).and_then(|endpoints| endpoints.budget.as_mut())
-        {
-            budget.record_request(bounds, nodes);
+        if let Some(endpoints) = table.services.get_mut(service) {
+            endpoints.budget(now_us, bounds, nodes).record_request(now_us, bounds, nodes);
         }
     }
 
@@ -227,9 +225,7 @@
         let mut table = self.lock();
         let nodes = table.vms.len();
         let Some(endpoints) = table.services.get_mut(service) else { return false };
-        let budget =
-            endpoints.budget.get_or_insert_with(|| RepeatBudget::new(now_us, bounds, nodes));
-        budget.withdraw(now_us, bounds, nodes, cost)
+        endpoints.budget(now_us, bounds, nodes).withdraw(now_us, bounds, nodes, cost)
     }
 
     fn lock(&self) -> MutexGuard<'_, Table> {
@@ -237,6 +233,12 @@
     }
 }
 
+impl ServiceEndpoints {
+    fn budget(&mut self, now_us: u64, bounds: RepeatBounds, nodes: usize) -> &mut RepeatBudget {
+        self.budget.get_or_insert_with(|| RepeatBudget::new(now_us, bounds, nodes))
+    }
+}
+
 impl Table {
     fn service(
         &mut self,
--- a/crates/policy/src/repeats.rs
+++ b/crates/policy/src/repeats.rs
@@ -1,7 +1,7 @@
 //! How many calls of a service a node may send a second time.
 //!
-//! All nodes together may repeat a share of the callers' requests and a fixed number more in each
-//! window. Nodes do not ask each other before a repeat; each gets an equal part of the fixed number
+//! All nodes together may repeat a share of the requests for a service, calls of upstreams among them,
+//! and a fixed number more in each window. Nodes do not ask each other before a repeat; each gets an equal part of the fixed number
 //! and earns the share with its own requests. Both parts are kept well below the whole, since
 //! windows slide and the number of nodes known here may lag.
 
@@ -13,7 +13,7 @@
 /// Repeats allowed over all nodes.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RepeatBounds {
-    /// Repeats for each request of a caller.
+    /// Repeats for each request.
     pub ratio: f64,
     /// Repeats in each window beyond the ratio.
     pub slack: f64,
@@ -28,42 +28,61 @@
     }
 }
 
-/// Token bucket of one node for one service.
+/// Repeats that one node may make for one service.
+///
+/// Requests earn a part of a repeat each. What was earned is kept for about a window, so that a fault
+/// of a few seconds can use what the calm before it left, and no longer, so that a window never holds
+/// more than twice the part that is used.
 #[derive(Debug, Clone)]
 pub struct RepeatBudget {
-    tokens: f64,
+    /// Requests of the last window, fading.
+    requests: f64,
+    earned: f64,
+    /// What is left of the fixed number.
+    fixed: f64,
     updated_us: u64,
 }
 
 impl RepeatBudget {
-    /// Starts with the node's part of one window.
+    /// Starts with the node's part of the fixed number.
     pub fn new(now_us: u64, bounds: RepeatBounds, nodes: usize) -> Self {
-        Self { tokens: capacity(bounds, nodes), updated_us: now_us }
+        let fixed = fixed_part(bounds, nodes);
+        Self { requests: 0.0, earned: 0.0, fixed, updated_us: now_us }
     }
 
-    /// Takes a caller's request for the service into account.
-    pub fn record_request(&mut self, bounds: RepeatBounds, nodes: usize) {
-        let most = capacity(bounds, nodes);
-        self.tokens = (self.tokens + bounds.ratio * USED_PART).min(most.max(self.tokens));
+    /// Takes a request for the service into account.
+    pub fn record_request(&mut self, now_us: u64, bounds: RepeatBounds, nodes: usize) {
+        self.advance(now_us, bounds, nodes);
+        self.requests += 1.0;
+        self.earned += bounds.ratio * USED_PART;
     }
 
     /// Takes the cost of one repeat out. Returns whether there was enough.
     ///
     /// A repeat of a call that makes calls of its own costs more than one.
     pub fn withdraw(&mut self, now_us: u64, bounds: RepeatBounds, nodes: usize, cost: f64) -> bool {
-        let most = capacity(bounds, nodes);
-        let elapsed_s = now_us.saturating_sub(self.updated_us) as f64 / US_PER_S as f64;
-        let earned = elapsed_s * most / bounds.window_s.max(1.0);
-        self.updated_us = now_us;
-        self.tokens = (self.tokens + earned).min(most);
-        if self.tokens < cost {
+        self.advance(now_us, bounds, nodes);
+        if self.earned + self.fixed < cost {
             return false;
         }
-        self.tokens -= cost;
+        let from_earned = cost.min(self.earned);
+        self.earned -= from_earned;
+        self.fixed -= cost - from_earned;
         true
     }
+
+    fn advance(&mut self, now_us: u64, bounds: RepeatBounds, nodes: usize) {
+        let elapsed_s = now_us.saturating_sub(self.updated_us) as f64 / US_PER_S as f64;
+        let windows = elapsed_s / bounds.window_s.max(1.0);
+        self.updated_us = self.updated_us.max(now_us);
+        self.requests *= (-windows).exp();
+        self.earned = self.earned.min(self.requests * bounds.ratio * USED_PART);
+        let fixed_part = fixed_part(bounds, nodes);
+        self.fixed = (self.fixed + windows * fixed_part).min(fixed_part);
+    }
 }
 
-fn capacity(bounds: RepeatBounds, nodes: usize) -> f64 {
-    (bounds.slack * USED_PART / 2.0 / nodes.max(1) as f64).max(1.0)
+/// Returns a node's part of the fixed number. A window may hold it twice: kept and regained.
+fn fixed_part(bounds: RepeatBounds, nodes: usize) -> f64 {
+    bounds.slack * USED_PART / 2.0 / nodes.max(1) as f64
 }
