Cut and grow the admitted share at the pace of the news about pressure

A cut of 0.3 a step at a pressure of 0.3 takes out over half of the requests before the entry hears of it, and three hops with a memory of 0.4 s keep the old pressure alive for three seconds. Ruled out: missing capacity (108 of 108 slots before, 84 to 106 then), a slow instance alone. Change: cut 0.1, growth 0.04, memory 0.2 s. Over the second that news takes, the cut is as large as the share of requests that fail.

--- a/crates/policy/src/pressure.rs
+++ b/crates/policy/src/pressure.rs
@@ -11,8 +11,9 @@
 use crate::fading::FadingShare;
 use crate::{US_PER_MS, US_PER_S};
 
-/// Memory of pressures and failures, in microseconds: several round trips through a call chain.
-pub const MEMORY_US: u64 = 400 * US_PER_MS;
+/// Memory of pressures and failures, in microseconds. Each hop of a chain adds it to the time that news
+/// takes to where requests enter.
+pub const MEMORY_US: u64 = 200 * US_PER_MS;
 /// Wait for a slot that a call of a begun request bears without harm, in microseconds. A chain makes
 /// several such calls in a row.
 const HARMLESS_WAIT_US: u64 = 20 * US_PER_MS;
@@ -26,11 +27,12 @@
 const BASE_FAILURE_SHARE: f64 = 0.015;
 /// Pause between two steps of a throttle, in microseconds.
 const STEP_US: u64 = 100 * US_PER_MS;
-/// Cut of the admitted share in one step, for each unit of pressure above the target. News of a cut
-/// takes about a second to travel up a chain, so a step must stay small.
-const CUT_PER_PRESSURE: f64 = 0.3;
+/// Cut of the admitted share in one step, for each unit of pressure above the target. The pressure is
+/// the share of requests that fail for want of room; news of it takes about a second to travel up a
+/// chain, in which the ten steps together take out as many.
+const CUT_PER_PRESSURE: f64 = 0.1;
 /// Growth of the admitted share in one step without any pressure.
-const GROWTH: f64 = 0.025;
+const GROWTH: f64 = 0.04;
 /// Smallest admitted share, so that no kind of request starves.
 const MIN_SHARE: f64 = 0.1;
 /// Requests that may be admitted in a row above the share.
