Soak the programs under seeded faults that overlap

cargo xtask soak starts the deployment pair behind relays, with callers and an operator at work, and judges what they and the upstreams saw. Mesh nodes, full disks, delays and clocks are not covered yet.

--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod load;
 pub mod process;
 pub mod relay;
+pub mod soak;
 pub mod upstream;
 pub mod upstream_client;
--- a/xtask/src/error.rs
+++ b/xtask/src/error.rs
@@ -6,6 +6,7 @@
 use testbed::caller::CallerError;
 use testbed::cluster::ClusterError;
 use testbed::process::ProcessError;
+use testbed::soak::SoakError;
 use testbed::upstream_client::UpstreamClientError;
 
 quick_error! {
@@ -53,6 +54,11 @@
             display("{}", source)
             from()
         }
+        /// A soak could not be run.
+        Soak(source: SoakError) {
+            display("{}", source)
+            from()
+        }
         /// Something did not hold.
         Check(what: String) {
             display("check failed: {}", what)
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -5,6 +5,7 @@
 mod error;
 mod measure;
 mod slopes;
+mod soak;
 mod tidy;
 
 use std::path::PathBuf;
@@ -14,6 +15,7 @@
 
 use crate::error::ChoreError;
 use crate::measure::MeasureSettings;
+use crate::soak::SoakSeries;
 
 fn main() -> ExitCode {
     match run() {
@@ -53,6 +55,7 @@
                 ),
         )
         .subcommand(measure_command())
+        .subcommand(soak_command())
         .subcommand(Command::new("slopes").about("Measures what control costs per node"))
         .subcommand(Command::new("tidy").about("Checks the source text"))
         .get_matches();
@@ -74,6 +77,12 @@
         }),
         Some(("slopes", _)) if cfg!(debug_assertions) => measure::run_release(&["slopes"]),
         Some(("slopes", _)) => slopes::run(),
+        Some(("soak", arguments)) => soak::run(&SoakSeries {
+            first_seed: daemon::required(arguments, "seed"),
+            seeds: daemon::required(arguments, "seeds"),
+            seconds: daemon::required(arguments, "seconds"),
+            callers: daemon::required(arguments, "callers"),
+        }),
         Some(("tidy", _)) => tidy::check(),
         Some(("demo", arguments)) => {
             let deployment: String = daemon::required(arguments, "deployment");
@@ -86,6 +95,24 @@
     }
 }
 
+fn soak_command() -> Command {
+    let count = |name: &'static str, default: &'static str| {
+        Arg::new(name).long(name).value_parser(value_parser!(u64)).default_value(default)
+    };
+    Command::new("soak")
+        .about("Runs the programs under seeded faults and checks the promises")
+        .arg(count("seed", "1").help("First seed"))
+        .arg(count("seeds", "1").help("Seeds to run, one after another"))
+        .arg(count("seconds", "10").help("Time in which faults come, for each seed"))
+        .arg(
+            Arg::new("callers")
+                .long("callers")
+                .value_parser(value_parser!(usize))
+                .default_value("4")
+                .help("Callers that send at once"),
+        )
+}
+
 fn measure_command() -> Command {
     let option = |name: &'static str| Arg::new(name).long(name);
     Command::new("measure")
