--- a/crates/testbed/src/soak/judge/tests.rs
+++ b/crates/testbed/src/soak/judge/tests.rs
@@ -1,3 +1,5 @@
+//! Cases for the rules of the judge.
+
 use indexmap::IndexMap;
 
 use super::{Ending, Ledger};
