Set the limits on silent connections in one place

links::set_socket_options and http_listener's function of the same name were twins but for their constants. They are one type in daemon now, with the same values at each place. No behaviour changes.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -6,6 +6,7 @@
 mod program;
 mod settings;
 mod signals;
+mod silence;
 
 pub use crate::{
     admin::{AdminError, AdminReply, AdminServer},
@@ -17,4 +18,5 @@
         setting_flag, values,
     },
     signals::{ReloadSignals, stop_requested},
+    silence::SilenceLimits,
 };
--- a/crates/mesh/src/links.rs
+++ b/crates/mesh/src/links.rs
@@ -6,14 +6,13 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use daemon::Clock;
+use daemon::{Clock, SilenceLimits};
 use http::{Request, Response};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use indexmap::IndexMap;
 use policy::{US_PER_MS, US_PER_S};
-use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 
 use crate::body::CallBody;
@@ -29,12 +28,14 @@
 const MAX_IDLE_AT_MOST_ONCE_US: u64 = 300 * US_PER_MS;
 /// Most idle connections kept to one address.
 const MAX_IDLE_PER_ADDRESS: usize = 128;
-/// Time without acknowledgement after which a connection counts as broken: two retransmissions, so that
+/// Silence of a connection. Without an acknowledgement for two retransmissions it counts as broken, so that
 /// one lost packet in a hundred does not end it.
-const USER_TIMEOUT: Duration = Duration::from_millis(750);
-const KEEPALIVE_TIME: Duration = Duration::from_secs(1);
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-const KEEPALIVE_RETRIES: u32 = 2;
+pub(crate) const SILENCE: SilenceLimits = SilenceLimits {
+    keepalive_time: Duration::from_secs(1),
+    keepalive_interval: Duration::from_secs(1),
+    keepalive_retries: 2,
+    user_timeout: Duration::from_millis(750),
+};
 
 /// Which kept connections a call may use.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -164,7 +165,7 @@
 async fn connect(address: SocketAddr) -> Option<SendRequest<CallBody>> {
     let opened = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     let stream = opened.ok()?.ok()?;
-    set_socket_options(&stream);
+    SILENCE.apply(&stream);
     let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
     tokio::spawn(async move {
         // The sender learns of the failure by itself.
@@ -172,16 +173,3 @@
     });
     Some(sender)
 }
-
-/// Sends at once, and notices a connection that has gone silent.
-pub(crate) fn set_socket_options(stream: &TcpStream) {
-    let socket = SockRef::from(stream);
-    let keepalive = TcpKeepalive::new()
-        .with_time(KEEPALIVE_TIME)
-        .with_interval(KEEPALIVE_INTERVAL)
-        .with_retries(KEEPALIVE_RETRIES);
-    // A socket that refuses an option still works, only less well.
-    let _ = stream.set_nodelay(true);
-    let _ = socket.set_tcp_keepalive(&keepalive);
-    let _ = socket.set_tcp_user_timeout(Some(USER_TIMEOUT));
-}
--- a/crates/mesh/src/listener.rs
+++ b/crates/mesh/src/listener.rs
@@ -84,7 +84,7 @@
         };
         match accepted {
             Ok((stream, remote)) => {
-                links::set_socket_options(&stream);
+                links::SILENCE.apply(&stream);
                 let handler = Arc::clone(&handler);
                 connections.spawn(connection::serve(
                     log.clone(),
--- a/crates/node/src/http_listener.rs
+++ b/crates/node/src/http_listener.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use daemon::SilenceLimits;
 use http::{Request, Response};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -11,7 +12,6 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
 use slog::{Logger, debug, warn};
-use socket2::{SockRef, TcpKeepalive};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
@@ -19,10 +19,13 @@
 
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 const MAX_HEAD_BYTES: usize = 64 * 1024;
-const KEEPALIVE_TIME: Duration = Duration::from_secs(5);
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-const KEEPALIVE_RETRIES: u32 = 3;
-const USER_TIMEOUT: Duration = Duration::from_secs(5);
+/// Silence of a caller's connection.
+const SILENCE: SilenceLimits = SilenceLimits {
+    keepalive_time: Duration::from_secs(5),
+    keepalive_interval: Duration::from_secs(1),
+    keepalive_retries: 3,
+    user_timeout: Duration::from_secs(5),
+};
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Answers the requests of one listener.
@@ -67,7 +70,7 @@
     handler: Arc<impl Handler>,
     graceful: &GracefulShutdown,
 ) {
-    set_socket_options(&stream);
+    SILENCE.apply(&stream);
     let service = service_fn(move |request| {
         let handler = Arc::clone(&handler);
         async move { Ok::<_, Infallible>(handler.handle(request).await) }
@@ -85,16 +88,3 @@
         }
     });
 }
-
-/// Sends at once, and notices a caller whose connection has gone silent.
-fn set_socket_options(stream: &TcpStream) {
-    let socket = SockRef::from(stream);
-    let keepalive = TcpKeepalive::new()
-        .with_time(KEEPALIVE_TIME)
-        .with_interval(KEEPALIVE_INTERVAL)
-        .with_retries(KEEPALIVE_RETRIES);
-    // A socket that refuses an option still works, only less well.
-    let _ = stream.set_nodelay(true);
-    let _ = socket.set_tcp_keepalive(&keepalive);
-    let _ = socket.set_tcp_user_timeout(Some(USER_TIMEOUT));
-}
