--- a/crates/mesh/src/body.rs
+++ b/crates/mesh/src/body.rs
@@ -93,12 +93,7 @@
     }
 
     fn size_hint(&self) -> SizeHint {
-        let held = self.held.as_ref().map_or(0, Bytes::len) as u64;
-        let Some(rest) = &self.rest else { return SizeHint::with_exact(held) };
-        match rest.size_hint().exact() {
-            Some(exact) => SizeHint::with_exact(held + exact),
-            None => SizeHint::default(),
-        }
+        whole_size(self.held.as_ref(), self.rest.as_ref())
     }
 }
 
@@ -159,14 +154,7 @@
     }
 
     fn size_hint(&self) -> SizeHint {
-        let held = self.held.as_ref().map_or(0, Bytes::len) as u64;
-        match &self.rest {
-            None => SizeHint::with_exact(held),
-            Some((rest, _)) => match rest.size_hint().exact() {
-                Some(exact) => SizeHint::with_exact(held + exact),
-                None => SizeHint::default(),
-            },
-        }
+        whole_size(self.held.as_ref(), self.rest.as_ref().map(|(rest, _)| rest))
     }
 }
 
@@ -179,6 +167,16 @@
     }
 }
 
+/// Returns the size of what is held and what follows, if that is known.
+fn whole_size(held: Option<&Bytes>, rest: Option<&Incoming>) -> SizeHint {
+    let held = held.map_or(0, Bytes::len) as u64;
+    match rest.map(|rest| rest.size_hint().exact()) {
+        None => SizeHint::with_exact(held),
+        Some(Some(exact)) => SizeHint::with_exact(held + exact),
+        Some(None) => SizeHint::default(),
+    }
+}
+
 /// Reads a body up to the held size. Returns whether that was all of it.
 pub(crate) async fn read_up_to(from: &mut Incoming) -> Result<(Bytes, bool), hyper::Error> {
     let mut first = Bytes::new();
