Forget replicas without a quorum once another one had it

When every replica lacks a quorum, a node accepts one after as many refusals as there are replicas. The count went on over the stream that followed: at the start three replicas had none yet, fifteen seconds later the node left a replica whose leader was cut off, and took the cut-off leader at once, for three seconds, while a third had version 10. Change: a stream that had a quorum ends the count.

--- a/crates/control-link/src/lib.rs
+++ b/crates/control-link/src/lib.rs
@@ -59,7 +59,10 @@
 /// Why a stream ended.
 enum StreamEnd {
     Lost,
+    /// The replica had no quorum from the beginning.
     Isolated,
+    /// The replica had a quorum and lost it.
+    LostQuorum,
 }
 
 impl<N: AttachedNode> ControlLink<N> {
@@ -87,6 +90,7 @@
     async fn keep_attached(mut self) {
         // Nodes begin at different replicas, so that they share the work and a cut-off replica has few.
         let mut index = self.node.first_control();
+        // Replicas found without a quorum since one last had it.
         let mut isolated_in_row = 0;
         loop {
             let controls = self.node.controls();
@@ -95,6 +99,7 @@
             let accepts_isolation = isolated_in_row >= controls.len();
             match self.attach(address, accepts_isolation).await {
                 StreamEnd::Isolated => isolated_in_row += 1,
+                StreamEnd::LostQuorum => isolated_in_row = 1,
                 StreamEnd::Lost => isolated_in_row = 0,
             }
             index += 1;
@@ -123,6 +128,7 @@
         info!(self.log, "control-attached"; "control" => %address);
         let mut interval = tokio::time::interval(REPORT_INTERVAL);
         let mut silent_at = Instant::now() + SILENCE_TIMEOUT;
+        let mut had_quorum = false;
         loop {
             tokio::select! {
                 update = tokio::time::timeout_at(silent_at, updates.next()) => {
@@ -137,9 +143,14 @@
                     }
                     // A replica that had a quorum since is no longer one among many without.
                     accepts_isolation &= is_isolated;
+                    had_quorum |= !is_isolated;
                     if is_isolated && !accepts_isolation {
-                        warn!(self.log, "control-isolated"; "control" => %address);
-                        return StreamEnd::Isolated;
+                        warn!(self.log, "control-isolated"; "control" => %address,
+                            "had_quorum" => had_quorum);
+                        return match had_quorum {
+                            true => StreamEnd::LostQuorum,
+                            false => StreamEnd::Isolated,
+                        };
                     }
                 }
                 _ = interval.tick() => {
--- a/crates/control-link/tests/isolation.rs
+++ b/crates/control-link/tests/isolation.rs
@@ -24,10 +24,33 @@
     /// It has no quorum for the first second, then one, then none again.
     Regained,
     Silent,
+    /// It has had no quorum for long.
+    Lost,
+    /// It has no quorum for the first second of its life, then one.
+    Recovering,
+    /// It has a quorum for the first second of its life, then none.
+    Failing,
+}
+
+struct Server {
+    replica: Replica,
+    born: Instant,
+}
+
+impl Server {
+    /// Returns what the replica is like now.
+    fn present(&self) -> Replica {
+        let is_young = self.born.elapsed() < Duration::from_secs(1);
+        match (self.replica, is_young) {
+            (Replica::Recovering, true) => Replica::Lost,
+            (Replica::Recovering, false) => Replica::Healthy,
+            (replica, _) => replica,
+        }
+    }
 }
 
 #[tonic::async_trait]
-impl Directory for Replica {
+impl Directory for Server {
     type AttachStream = ReceiverStream<Result<ControlUpdate, Status>>;
 
     async fn attach(
@@ -35,10 +58,12 @@
         _request: Request<Streaming<NodeReport>>,
     ) -> Result<Response<Self::AttachStream>, Status> {
         let (updates, receiver) = mpsc::channel(4);
-        let replica = *self;
+        let replica = self.present();
+        let born = self.born;
         tokio::spawn(async move {
             let started = Instant::now();
-            let mut contact_age_ms = if replica == Replica::Regained { 5_000 } else { 0 };
+            let is_without = matches!(replica, Replica::Regained | Replica::Lost);
+            let mut contact_age_ms = if is_without { 5_000 } else { 0 };
             if replica == Replica::Silent {
                 return std::future::pending().await;
             }
@@ -51,7 +76,12 @@
                     return;
                 }
                 tokio::time::sleep(Duration::from_millis(500)).await;
-                contact_age_ms += if replica == Replica::Healthy { 0 } else { 500 };
+                let has_quorum = match replica {
+                    Replica::Healthy => true,
+                    Replica::Failing => born.elapsed() < Duration::from_secs(1),
+                    _ => false,
+                };
+                contact_age_ms += if has_quorum { 0 } else { 500 };
                 if replica == Replica::Regained && started.elapsed() < Duration::from_secs(2) {
                     let is_early = started.elapsed() < Duration::from_secs(1);
                     contact_age_ms = if is_early { 5_000 } else { 0 };
@@ -87,7 +117,8 @@
 async fn start(replica: Replica) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
     let address = listener.local_addr().expect("the listener has an address");
-    let server = tonic::transport::Server::builder().add_service(DirectoryServer::new(replica));
+    let server = Server { replica, born: Instant::now() };
+    let server = tonic::transport::Server::builder().add_service(DirectoryServer::new(server));
     tokio::spawn(server.serve_with_incoming(TcpListenerStream::new(listener)));
     address
 }
@@ -95,12 +126,16 @@
 /// Checks that a node which begins at a bad replica has the version of a healthy one in time.
 async fn check(bad: Replica) {
     let controls = vec![start(bad).await, start(Replica::Healthy).await];
+    check_in_force(controls, IN_FORCE).await;
+}
+
+async fn check_in_force(controls: Vec<SocketAddr>, limit: Duration) {
     let version = Arc::new(Mutex::new(0));
     let node = Node { controls, version: Arc::clone(&version) };
     let (_announce, announced) = watch::channel(0);
     let (_stop, stop) = watch::channel(false);
     let link = ControlLink::new(Logger::root(Discard, o!()), node, announced, stop);
-    let ended = tokio::time::timeout(IN_FORCE, link.run()).await;
+    let ended = tokio::time::timeout(limit, link.run()).await;
     assert!(ended.is_err(), "the link ended");
     assert_eq!(*version.lock().unwrap(), 9);
 }
@@ -110,6 +145,17 @@
     check(Replica::Isolated).await;
 }
 
+/// Replicas that were tried without success before a sound one say nothing about the time after it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn node_does_not_stay_without_a_quorum_because_of_replicas_that_it_tried_long_ago() {
+    let mut controls = Vec::new();
+    for replica in [Replica::Lost, Replica::Recovering, Replica::Failing] {
+        controls.push(start(replica).await);
+    }
+    // The third replica has a quorum for a second; from then on the bound counts.
+    check_in_force(controls, Duration::from_secs(1) + IN_FORCE).await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn node_leaves_a_silent_replica() {
     check(Replica::Silent).await;
