Find the programs of a test where cargo was told to build them

With CARGO_TARGET_DIR set, every test with processes failed to start them: they were looked for in the workspace's own target folder.

--- a/crates/testbed/src/process.rs
+++ b/crates/testbed/src/process.rs
@@ -1,5 +1,6 @@
 //! Child processes of a test or measurement, ended when dropped.
 
+use std::env;
 use std::fs::{self, File};
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
@@ -250,6 +251,7 @@
         return Err(ProcessError::Build(status));
     }
     let profile = if cfg!(debug_assertions) { "debug" } else { "release" };
-    let dir = root.join("target").join(profile);
+    let target = env::var_os("CARGO_TARGET_DIR").map_or_else(|| root.join("target"), PathBuf::from);
+    let dir = target.join(profile);
     Ok(BUILT.get_or_init(|| dir).clone())
 }
