--- a/crates/mesh/src/body.rs
+++ b/crates/mesh/src/body.rs
@@ -10,6 +10,7 @@
 use quick_error::quick_error;
 
 use crate::connection_pool::PooledConnection;
+use crate::crash_monitor::RunGuard;
 use crate::slot_queue::Permit;
 
 /// Maximum size of a fully buffered body, in bytes. Buffered request bodies can be sent again; the
@@ -60,13 +61,21 @@
         Ok(Self { buffered: (!buffered.is_empty()).then_some(buffered), stream, remaining_bytes })
     }
 
+    /// Returns a body with these bytes.
+    pub(crate) fn from_bytes(bytes: Bytes) -> Self {
+        Self { buffered: (!bytes.is_empty()).then_some(bytes), stream: None, remaining_bytes: 0 }
+    }
+
+    /// Returns the buffered beginning of the body.
+    pub(crate) fn buffered(&self) -> Bytes {
+        self.buffered.clone().unwrap_or_default()
+    }
+
     /// Returns a copy of the body, or `None` if part of it is streamed.
     pub(crate) fn try_clone(&self) -> Option<Self> {
         match self.stream {
             Some(_) => None,
-            None => {
-                Some(Self { buffered: self.buffered.clone(), stream: None, remaining_bytes: 0 })
-            }
+            None => Some(Self::from_bytes(self.buffered())),
         }
     }
 }
@@ -105,8 +114,8 @@
 
 /// Resources that a streamed response body holds until its end.
 pub(crate) enum StreamGuard {
-    /// Slot and connection of a call to the local upstream.
-    Upstream { _permit: Permit, connection: PooledConnection },
+    /// Slot, connection and run of a call to the local upstream.
+    Upstream { _permit: Permit, connection: PooledConnection, run: Box<RunGuard> },
     /// Connection of a call to another node.
     Peer { connection: PooledConnection },
 }
@@ -147,10 +156,13 @@
         }
         let Some((stream, _)) = &mut body.stream else { return Poll::Ready(None) };
         let frame = ready!(Pin::new(stream).poll_frame(cx));
-        if frame.is_none()
+        if !matches!(frame, Some(Ok(_)))
             && let Some((_, guard)) = body.stream.take()
         {
-            guard.finish();
+            match frame {
+                None => guard.finish(),
+                Some(_) => guard.finish_broken(),
+            }
         }
         Poll::Ready(frame.map(|frame| frame.map_err(BodyError::from)))
     }
@@ -168,9 +180,18 @@
     /// Returns the connection to the pool after the complete body was read.
     fn finish(self) {
         match self {
-            StreamGuard::Upstream { connection, .. } | StreamGuard::Peer { connection } => {
-                connection.return_to_pool()
+            StreamGuard::Upstream { connection, run, .. } => {
+                run.finish_answered();
+                connection.return_to_pool();
             }
+            StreamGuard::Peer { connection } => connection.return_to_pool(),
+        }
+    }
+
+    /// Records that the connection broke before the end of the body.
+    fn finish_broken(self) {
+        if let StreamGuard::Upstream { run, .. } = self {
+            run.finish_broken_in_background();
         }
     }
 }
--- a/crates/mesh/src/caller_listener.rs
+++ b/crates/mesh/src/caller_listener.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use http::request::Parts;
-use http::{HeaderValue, Request, Response, StatusCode, header};
-use model::{CallerLimits, Configuration, HostRoute, Outcome, Reason, ServiceName};
+use http::{HeaderName, HeaderValue, Request, Response, StatusCode, header};
+use model::{CallerLimits, Configuration, HostRoute, Outcome, Reason, ServiceName, headers};
 use policy::US_PER_MS;
 use policy::retry_after;
 use policy::slots::CallPriority;
@@ -34,6 +34,9 @@
 /// milliseconds.
 const DEFAULT_MAX_WAIT_MS: u64 = 200;
 
+const OUTCOME: HeaderName = HeaderName::from_static(headers::OUTCOME);
+const REASON: HeaderName = HeaderName::from_static(headers::REASON);
+
 /// Handler of the caller listener.
 pub(crate) struct CallerHandler<D> {
     pub(crate) adapter: Arc<D>,
@@ -188,10 +191,18 @@
         metadata: &RequestMetadata,
         failure: &CallFailure,
     ) -> Response<AnswerBody> {
-        let status = failure.status();
+        let is_quarantined = failure.reason == Reason::Quarantined;
+        let status = match is_quarantined {
+            true => self.adapter.quarantined_status(),
+            false => failure.status(),
+        };
         let mut response = Response::new(AnswerBody::default());
         *response.status_mut() = status;
         let headers = response.headers_mut();
+        if is_quarantined {
+            headers.insert(OUTCOME, HeaderValue::from_static(failure.outcome.as_str()));
+            headers.insert(REASON, HeaderValue::from_static(failure.reason.as_str()));
+        }
         if status == StatusCode::SERVICE_UNAVAILABLE {
             let wait = retry_after::mesh_delay(failure.expected_wait, rand::random());
             self.adapter.write_retry_after(headers, wait);
--- a/crates/mesh/src/connection_pool.rs
+++ b/crates/mesh/src/connection_pool.rs
@@ -4,6 +4,7 @@
 //! The pool never sends a call twice. If a call was not sent, the error contains it, so that it can
 //! be sent elsewhere.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -22,6 +23,11 @@
 /// Maximum time to establish a connection, many times the round-trip time within a region. A VM
 /// behind a network partition does not respond, so the timeout leaves time to try another VM.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Maximum number of connections that check whether an upstream still runs.
+const CHECK_ATTEMPTS: u32 = 3;
+/// Time after which a new connection to an upstream that still runs is certainly open. A process
+/// that dies may lose its connections shortly before its listener.
+const CHECK_PERIOD: Duration = Duration::from_millis(20);
 /// Idle time after which a connection is not reused, in microseconds. Below the idle timeouts of
 /// common HTTP servers, so that a call is seldom sent while the server closes the connection.
 const MAX_IDLE_US: u64 = 3 * US_PER_S;
@@ -103,6 +109,23 @@
         self.lock().swap_remove(&address);
     }
 
+    /// Returns whether an address refuses connections because nothing listens there any more. A
+    /// connection that is accepted joins the pool.
+    pub(crate) async fn is_refused(&self, address: SocketAddr) -> bool {
+        for _ in 0..CHECK_ATTEMPTS {
+            let sender = match connect(address).await {
+                Ok(sender) => sender,
+                Err(error) => return error.kind() == io::ErrorKind::ConnectionRefused,
+            };
+            tokio::time::sleep(CHECK_PERIOD).await;
+            if !sender.is_closed() {
+                PooledConnection { pool: self.clone(), address, sender }.return_to_pool();
+                return false;
+            }
+        }
+        false
+    }
+
     /// Sends a call and waits for the head of its response. Dropping the future cancels the call.
     pub(crate) async fn send(
         &self,
@@ -118,8 +141,8 @@
             }
         }
         match connect(address).await {
-            Some(sender) => self.send_over(address, sender, request).await,
-            None => Err(SendError::NotSent(Box::new(request))),
+            Ok(sender) => self.send_over(address, sender, request).await,
+            Err(_) => Err(SendError::NotSent(Box::new(request))),
         }
     }
 
@@ -174,14 +197,14 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Option<SendRequest<CallBody>> {
-    let connected = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-    let stream = connected.ok()?.ok()?;
+async fn connect(address: SocketAddr) -> io::Result<SendRequest<CallBody>> {
+    let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
     KEEPALIVE_SETTINGS.apply(&stream);
-    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let (sender, connection) = handshake.map_err(io::Error::other)?;
     tokio::spawn(async move {
         // The request sender reports a connection failure as well.
         let _ = connection.await;
     });
-    Some(sender)
+    Ok(sender)
 }
--- /dev/null
+++ b/crates/mesh/src/crash_monitor.rs
@@ -0,0 +1,211 @@
+//! Detects crashes of the local upstream and records the requests that it was running.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
+
+use daemon::Clock;
+use model::VmName;
+use policy::quarantine::{Digest, ProcessId, RunMode};
+use policy::run_table::{Run, RunId, RunTable};
+use slog::{Logger, info, warn};
+use tokio::sync::oneshot;
+
+use crate::connection_pool::ConnectionPool;
+use crate::metrics::Metrics;
+use crate::quarantine_peers::QuarantinePeers;
+use crate::request_key::{RequestKey, digest_text};
+use crate::request_log::RequestLog;
+use crate::suspects::{self, Isolation, RunPermit, Suspects};
+use crate::upstream::{ServingUpstream, UpstreamState};
+
+/// Components that the monitor uses.
+pub(crate) struct CrashMonitorDependencies {
+    pub(crate) log: Logger,
+    pub(crate) clock: Clock,
+    pub(crate) vm: VmName,
+    pub(crate) pool: ConnectionPool,
+    pub(crate) upstream_state: Arc<UpstreamState>,
+    pub(crate) suspects: Arc<Suspects>,
+    pub(crate) peers: Arc<QuarantinePeers>,
+    pub(crate) metrics: Arc<Metrics>,
+}
+
+/// Last check of whether the upstream still runs.
+struct Check {
+    process: ProcessId,
+    started: Instant,
+    has_crashed: bool,
+}
+
+/// Requests that the local upstream runs, and the detection of its crashes.
+pub(crate) struct CrashMonitor {
+    deps: CrashMonitorDependencies,
+    request_log: RequestLog,
+    runs: Mutex<RunTable<RequestKey>>,
+    last_check: tokio::sync::Mutex<Option<Check>>,
+}
+
+impl CrashMonitor {
+    pub(crate) fn new(deps: CrashMonitorDependencies) -> Self {
+        Self {
+            request_log: RequestLog::new(deps.log.clone(), deps.clock),
+            deps,
+            runs: Mutex::default(),
+            last_check: tokio::sync::Mutex::default(),
+        }
+    }
+
+    /// Records that a request is dispatched.
+    pub(crate) fn start(
+        self: &Arc<Self>,
+        upstream: &ServingUpstream,
+        request: RequestKey,
+        permit: RunPermit,
+    ) -> RunGuard {
+        let process = self.process_id(upstream);
+        let mut permit = permit;
+        let run_mode = permit.run_mode;
+        let id = self.runs().start(Run { request, process, run_mode });
+        let isolation_limit =
+            permit.isolation.take().map(|isolation| self.limit_isolation(id, isolation));
+        RunGuard {
+            monitor: Arc::clone(self),
+            upstream: upstream.clone(),
+            id,
+            _permit: permit,
+            _isolation_limit: isolation_limit,
+        }
+    }
+
+    /// Ends the isolation of a run after [`suspects::MAX_ISOLATION`], or when the returned sender
+    /// is dropped.
+    fn limit_isolation(self: &Arc<Self>, id: RunId, isolation: Isolation) -> oneshot::Sender<()> {
+        let (run_ended, ended) = oneshot::channel();
+        let monitor = Arc::clone(self);
+        tokio::spawn(async move {
+            if tokio::time::timeout(suspects::MAX_ISOLATION, ended).await.is_err() {
+                monitor.runs().end_isolation(id);
+            }
+            drop(isolation);
+        });
+        run_ended
+    }
+
+    /// Returns whether the upstream process has crashed, and records the requests that it was
+    /// running if so. A process that was about to stop has not crashed.
+    pub(crate) async fn check(&self, upstream: &ServingUpstream) -> bool {
+        let noticed = Instant::now();
+        let process = self.process_id(upstream);
+        let mut last_check = self.last_check.lock().await;
+        if let Some(last) = last_check.as_ref().filter(|last| last.process == process)
+            && (last.has_crashed || last.started >= noticed)
+        {
+            return last.has_crashed;
+        }
+        let started = Instant::now();
+        let state = &self.deps.upstream_state;
+        let has_crashed = !state.is_planned_stop(upstream)
+            && (state.is_replaced(upstream) || self.deps.pool.is_refused(upstream.address).await);
+        *last_check = Some(Check { process, started, has_crashed });
+        if has_crashed {
+            self.record_crash(upstream).await;
+        }
+        has_crashed
+    }
+
+    /// Checks for a crash if the upstream process may have been running requests.
+    pub(crate) async fn check_unreachable(&self, upstream: &ServingUpstream) {
+        if self.runs().has_runs(&self.process_id(upstream)) {
+            self.check(upstream).await;
+        }
+    }
+
+    /// Records the requests of a crashed process and reports them to the other nodes.
+    async fn record_crash(&self, upstream: &ServingUpstream) {
+        let process = self.process_id(upstream);
+        self.deps.upstream_state.mark_unreachable(&upstream.instance_id);
+        let crashed = self.runs().take_crashed(self.deps.clock.now_us(), &process);
+        self.deps.metrics.upstream_crashes.inc();
+        warn!(self.deps.log, "upstream-crashed"; "instance" => &*upstream.instance_id,
+            "address" => %upstream.address, "requests" => crashed.len());
+        let mut digests = Vec::new();
+        for run in crashed {
+            let digest = run.request.digest();
+            if self.deps.suspects.record_death(&process, digest, run.run_mode).is_some() {
+                digests.push(digest);
+            }
+            self.log_suspect(upstream, &run.request, digest, run.run_mode);
+        }
+        self.deps.peers.announce(digests).await;
+    }
+
+    fn log_suspect(
+        &self,
+        upstream: &ServingUpstream,
+        request: &RequestKey,
+        digest: Digest,
+        run_mode: RunMode,
+    ) {
+        let crashes = self.deps.suspects.report(digest).map_or(0, |report| report.evidence.crashes);
+        // Evidence beyond a shared crash is rare, so these lines are not rate-limited.
+        let log = match run_mode {
+            RunMode::Shared => self.request_log.rate_limited_logger(&self.deps.metrics),
+            RunMode::Probation | RunMode::Isolated => Some(&self.deps.log),
+        };
+        let Some(log) = log else { return };
+        info!(log, "request-suspected"; "request" => request.id_text(),
+            "digest" => digest_text(digest), "instance" => &*upstream.instance_id,
+            "run_mode" => ?run_mode, "crashes" => crashes);
+    }
+
+    fn process_id(&self, upstream: &ServingUpstream) -> ProcessId {
+        ProcessId { vm: self.deps.vm.to_string(), incarnation: upstream.incarnation }
+    }
+
+    fn runs(&self) -> MutexGuard<'_, RunTable<RequestKey>> {
+        self.runs.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Keeps a run in the table of the monitor. Dropping it records that the run was abandoned.
+pub(crate) struct RunGuard {
+    monitor: Arc<CrashMonitor>,
+    upstream: ServingUpstream,
+    id: RunId,
+    _permit: RunPermit,
+    _isolation_limit: Option<oneshot::Sender<()>>,
+}
+
+impl RunGuard {
+    /// Records that the upstream sent a complete answer.
+    pub(crate) fn finish_answered(self) {
+        let Some(run) = self.monitor.runs().finish(self.id) else { return };
+        let cleared = self.monitor.deps.suspects.record_answer(|| run.request.digest());
+        if let Some(digest) = cleared {
+            self.monitor.deps.peers.enqueue([digest]);
+        }
+    }
+
+    /// Records that the upstream did not run the request.
+    pub(crate) fn finish_not_run(self) {
+        self.monitor.runs().finish(self.id);
+    }
+
+    /// Checks whether the upstream crashed after the connection of the run broke.
+    pub(crate) async fn finish_broken(self) {
+        self.monitor.check(&self.upstream).await;
+        self.monitor.runs().finish(self.id);
+    }
+
+    /// Does the same as [`RunGuard::finish_broken`] in the background.
+    pub(crate) fn finish_broken_in_background(self) {
+        tokio::spawn(self.finish_broken());
+    }
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        let now_us = self.monitor.deps.clock.now_us();
+        self.monitor.runs().abandon(now_us, self.id);
+    }
+}
--- a/crates/mesh/src/endpoints.rs
+++ b/crates/mesh/src/endpoints.rs
@@ -174,6 +174,18 @@
         Some(ChosenVm { vm, address })
     }
 
+    /// Returns the VMs of a service with the addresses of their nodes, except one VM.
+    pub(crate) fn other_vms(
+        &self,
+        service: &ServiceName,
+        except: &VmName,
+    ) -> Vec<(VmName, SocketAddr)> {
+        let table = self.lock();
+        let peers = table.services.get(service).map(|endpoints| &endpoints.peers);
+        let others = peers.into_iter().flatten().filter(|(vm, _)| *vm != except);
+        others.map(|(vm, peer)| (vm.clone(), peer.address)).collect()
+    }
+
     /// Records the result of an attempt and the load that the node reported with it.
     pub(crate) fn finish_attempt(
         &self,
--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -8,7 +8,7 @@
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
 use http_body::Body;
 use hyper::body::Incoming;
-use model::{Idempotence, Reason, headers};
+use model::{Idempotence, Reason, VmName, headers};
 use policy::overload::NodeOverload;
 use policy::placement::PlacementLoad;
 use policy::slots::{CallPriority, SlotRequest};
@@ -17,14 +17,18 @@
 use crate::body::{self, AnswerBody, CallBody, StreamGuard};
 use crate::call::CallHead;
 use crate::connection_pool::{ConnectionPool, PooledConnection, ReusePolicy, SendError};
+use crate::crash_monitor::{CrashMonitor, RunGuard};
+use crate::endpoints::EndpointTable;
 use crate::failure::CallFailure;
 use crate::metrics::Metrics;
 use crate::protocol_adapter::{
     AnswerClassification, DispatchMetadata, ProtocolAdapter, UpstreamReport,
 };
+use crate::request_key::{RequestKey, digest_text};
 use crate::request_log::RequestLog;
 use crate::running_requests::{InheritedPriority, RunningRequests};
 use crate::slot_queue::{Permit, SlotQueue};
+use crate::suspects::{SuspectCall, SuspectPass, SuspectRefusal, Suspects};
 use crate::upstream::{ReportEffect, ServingUpstream, UpstreamState};
 
 /// Divisor of the concurrency limit reported to other nodes while the local upstream is cold. A
@@ -48,14 +52,32 @@
     pub(crate) overload_permille: u32,
 }
 
+/// Components that the ingress uses.
+pub(crate) struct IngressDependencies<D> {
+    pub(crate) log: Logger,
+    pub(crate) clock: Clock,
+    pub(crate) vm: VmName,
+    pub(crate) adapter: Arc<D>,
+    pub(crate) pool: ConnectionPool,
+    pub(crate) endpoints: Arc<EndpointTable>,
+    pub(crate) upstream_state: Arc<UpstreamState>,
+    pub(crate) suspects: Arc<Suspects>,
+    pub(crate) crash_monitor: Arc<CrashMonitor>,
+    pub(crate) metrics: Arc<Metrics>,
+}
+
 /// Admits calls to the local upstream and dispatches them.
 pub(crate) struct Ingress<D> {
     log: Logger,
     clock: Clock,
+    vm: VmName,
     adapter: Arc<D>,
     pool: ConnectionPool,
+    endpoints: Arc<EndpointTable>,
     pub(crate) slot_queue: SlotQueue,
-    pub(crate) upstream_state: UpstreamState,
+    pub(crate) upstream_state: Arc<UpstreamState>,
+    suspects: Arc<Suspects>,
+    crash_monitor: Arc<CrashMonitor>,
     is_stopping: AtomicBool,
     /// Whether the node reports to other nodes that it is leaving.
     is_withdrawn: AtomicBool,
@@ -68,26 +90,24 @@
 }
 
 impl<D: ProtocolAdapter> Ingress<D> {
-    pub(crate) fn new(
-        log: Logger,
-        clock: Clock,
-        adapter: Arc<D>,
-        pool: ConnectionPool,
-        metrics: Arc<Metrics>,
-    ) -> Self {
+    pub(crate) fn new(deps: IngressDependencies<D>) -> Self {
         Self {
-            request_log: RequestLog::new(log.clone(), clock),
-            log,
-            clock,
-            adapter,
-            pool,
-            slot_queue: SlotQueue::new(clock),
-            upstream_state: UpstreamState::new(),
+            request_log: RequestLog::new(deps.log.clone(), deps.clock),
+            log: deps.log,
+            clock: deps.clock,
+            vm: deps.vm,
+            adapter: deps.adapter,
+            pool: deps.pool,
+            endpoints: deps.endpoints,
+            slot_queue: SlotQueue::new(deps.clock),
+            upstream_state: deps.upstream_state,
+            suspects: deps.suspects,
+            crash_monitor: deps.crash_monitor,
             is_stopping: AtomicBool::new(false),
             is_withdrawn: AtomicBool::new(false),
             overload: Mutex::default(),
             running_requests: Arc::default(),
-            metrics,
+            metrics: deps.metrics,
         }
     }
 
@@ -111,6 +131,7 @@
         let now_us = self.clock.now_us();
         let load = self.slot_queue.load();
         let limit = match self.upstream_state.is_cold(now_us) {
+            _ if self.suspects.is_isolating() => 1,
             true => (load.limit / COLD_LIMIT_DIVISOR).max(1),
             false => load.limit,
         };
@@ -119,7 +140,7 @@
         NodeLoad { placement, is_leaving: self.is_leaving(), overload_permille }
     }
 
-    /// Returns the priority of the parent request if `request_id` belongs to a call that the
+    /// Returns the parent request if `request_id` belongs to a call that the
     /// upstream makes on behalf of a request that it is running.
     pub(crate) fn inherited_priority(&self, request_id: &HeaderValue) -> Option<InheritedPriority> {
         self.running_requests.get_by_id(self.adapter.parent_id(request_id)?)
@@ -153,9 +174,14 @@
     pub(crate) fn record_report(&self, report: UpstreamReport) {
         let id = report.instance_id.clone();
         let (address, sequence) = (report.address, report.sequence);
+        let previous = self.upstream_state.last_running();
         let effect = self.upstream_state.record_report(self.clock.now_us(), report);
         if matches!(effect, ReportEffect::NewProcess) {
             self.pool.close_idle(address);
+            if let Some(previous) = previous {
+                let crash_monitor = Arc::clone(&self.crash_monitor);
+                tokio::spawn(async move { crash_monitor.check_unreachable(&previous).await });
+            }
         }
         if matches!(effect, ReportEffect::NewProcess | ReportEffect::Changed) {
             let is_serving = self.upstream_state.serving().is_some();
@@ -190,6 +216,8 @@
         body: CallBody,
     ) -> Result<Answer, CallFailure> {
         self.serving_upstream(&head)?;
+        let key = RequestKey::new(&head, &body);
+        let pass = self.admit_suspect(&head, &key).await?;
         let slot_request = SlotRequest {
             ticket: 0,
             priority: head.priority,
@@ -206,17 +234,69 @@
             self.log_refusal(&head, wait);
             CallFailure::not_run(Reason::Overloaded).with_expected_wait(wait)
         })?;
+        let run_permit = self.suspects.start(|| key.digest(), pass).await;
+        let run_permit = run_permit.map_err(|refusal| self.refuse_suspect(&head, &key, refusal))?;
         // The upstream may have changed while the call waited.
         let upstream = self.serving_upstream(&head)?;
         let remaining_us = head.deadline_us.saturating_sub(self.clock.now_us());
         let remaining = Duration::from_micros(remaining_us);
-        let run = self.dispatch(&head, &upstream, body, permit, remaining);
+        let run = self.crash_monitor.start(&upstream, key, run_permit);
+        let run = self.dispatch(&head, &upstream, body, permit, run, remaining);
         match tokio::time::timeout(remaining, run).await {
             Ok(result) => result,
             Err(_) => Err(CallFailure::unknown(Reason::DeadlineExceeded)),
         }
     }
 
+    /// Waits until a suspect may take a slot. Other calls do not wait.
+    async fn admit_suspect(
+        &self,
+        head: &CallHead,
+        key: &RequestKey,
+    ) -> Result<SuspectPass, CallFailure> {
+        let remaining_us = head.deadline_us.saturating_sub(self.clock.now_us());
+        let call = SuspectCall {
+            priority_level: head.priority.level(),
+            max_wait: Duration::from_micros(head.max_wait_us.min(remaining_us)),
+            load: self.slot_queue.load(),
+            other_vms: &self.other_vms(head),
+        };
+        let admitted = self.suspects.admit(|| key.digest(), call).await;
+        admitted.map_err(|refusal| self.refuse_suspect(head, key, refusal))
+    }
+
+    /// Returns the other VMs of the called service.
+    fn other_vms(&self, head: &CallHead) -> Vec<VmName> {
+        match self.suspects.is_empty() {
+            true => Vec::new(),
+            false => {
+                let others = self.endpoints.other_vms(&head.service, &self.vm);
+                others.into_iter().map(|(vm, _)| vm).collect()
+            }
+        }
+    }
+
+    fn refuse_suspect(
+        &self,
+        head: &CallHead,
+        key: &RequestKey,
+        refusal: SuspectRefusal,
+    ) -> CallFailure {
+        let reason = match refusal {
+            SuspectRefusal::Quarantined => Reason::Quarantined,
+            SuspectRefusal::Busy => Reason::Overloaded,
+        };
+        match refusal {
+            SuspectRefusal::Quarantined => self.metrics.quarantine_refused.inc(),
+            SuspectRefusal::Busy => self.metrics.refused.inc(),
+        }
+        if let Some(log) = self.request_log.rate_limited_logger(&self.metrics) {
+            info!(log, "suspect-refused"; "request" => head.id_text(),
+                "digest" => digest_text(key.digest()), "reason" => reason.as_str());
+        }
+        CallFailure::not_run(reason)
+    }
+
     fn log_refusal(&self, head: &CallHead, wait: Duration) {
         let Some(log) = self.request_log.rate_limited_logger(&self.metrics) else { return };
         let load = self.slot_queue.load();
@@ -257,6 +337,7 @@
         upstream: &ServingUpstream,
         body: CallBody,
         permit: Permit,
+        run: RunGuard,
         remaining: Duration,
     ) -> Result<Answer, CallFailure> {
         let metadata = DispatchMetadata {
@@ -281,35 +362,42 @@
             head.request_id.as_ref(),
             inherited_priority,
         );
-        let (response, connection) =
-            self.pool.send(upstream.address, request, reuse).await.map_err(
-                |error| match error {
-                    SendError::NotSent(_) => {
-                        self.log_unreachable(upstream, "no connection could be established");
-                        self.upstream_state.mark_unreachable(&upstream.instance_id);
-                        CallFailure::not_run(Reason::ConnectFailed)
-                    }
-                    SendError::Broken => CallFailure::unknown(Reason::ConnectionLost),
-                },
-            )?;
+        let sent = self.pool.send(upstream.address, request, reuse).await;
+        let (response, connection) = match sent {
+            Ok(sent) => sent,
+            Err(SendError::NotSent(_)) => {
+                run.finish_not_run();
+                self.log_unreachable(upstream, "no connection could be established");
+                self.crash_monitor.check_unreachable(upstream).await;
+                self.upstream_state.mark_unreachable(&upstream.instance_id);
+                return Err(CallFailure::not_run(Reason::ConnectFailed));
+            }
+            Err(SendError::Broken) => {
+                run.finish_broken().await;
+                return Err(CallFailure::unknown(Reason::ConnectionLost));
+            }
+        };
         let classification = self.adapter.classify_answer(
             response.status(),
             response.headers(),
             head.request_id.as_ref(),
         );
         match classification {
-            AnswerClassification::Answer => read_answer(response, connection, permit).await,
+            AnswerClassification::Answer => read_answer(response, connection, permit, run).await,
             AnswerClassification::AtCapacity => {
+                run.finish_not_run();
                 permit.finish_at_capacity();
                 self.metrics.shed_by_upstream.inc();
                 return_refused_connection(response, connection).await;
                 Err(CallFailure::not_run(Reason::ShedByUpstream).reached_upstream())
             }
             AnswerClassification::NotRun => {
+                run.finish_not_run();
                 return_refused_connection(response, connection).await;
                 Err(CallFailure::not_run(Reason::ShedByUpstream).reached_upstream())
             }
             AnswerClassification::OtherProcess => {
+                run.finish_not_run();
                 self.log_unreachable(upstream, "another process has the address");
                 self.upstream_state.mark_unreachable(&upstream.instance_id);
                 Err(CallFailure::not_run(Reason::NoUpstream))
@@ -334,28 +422,28 @@
     response: Response<Incoming>,
     connection: PooledConnection,
     permit: Permit,
+    run: RunGuard,
 ) -> Result<Answer, CallFailure> {
     let (parts, mut incoming) = response.into_parts();
     let headers = forwarded_headers(parts.headers);
     let is_large = incoming.size_hint().lower() > body::MAX_BUFFERED_BYTES as u64;
     if is_large {
-        let guard = StreamGuard::Upstream { _permit: permit, connection };
+        let guard = StreamGuard::Upstream { _permit: permit, connection, run: Box::new(run) };
         let body = AnswerBody::streaming(bytes::Bytes::new(), incoming, guard);
         return Ok(Answer { status: parts.status, headers, body });
     }
-    let read = body::read_buffered(&mut incoming).await;
-    let (buffered, is_complete) =
-        read.map_err(|_| CallFailure::unknown(Reason::TruncatedAnswer))?;
+    let Ok((buffered, is_complete)) = body::read_buffered(&mut incoming).await else {
+        run.finish_broken().await;
+        return Err(CallFailure::unknown(Reason::TruncatedAnswer));
+    };
     let body = if is_complete {
+        run.finish_answered();
         permit.finish_answered();
         connection.return_to_pool();
         AnswerBody::buffered(buffered)
     } else {
-        AnswerBody::streaming(
-            buffered,
-            incoming,
-            StreamGuard::Upstream { _permit: permit, connection },
-        )
+        let guard = StreamGuard::Upstream { _permit: permit, connection, run: Box::new(run) };
+        AnswerBody::streaming(buffered, incoming, guard)
     };
     Ok(Answer { status: parts.status, headers, body })
 }
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Prometheus metrics of a node.
 
-use prometheus::{Encoder, Histogram, HistogramOpts, IntCounter, Registry, TextEncoder};
+use prometheus::{Encoder, Histogram, HistogramOpts, IntCounter, IntGauge, Registry, TextEncoder};
 
 use crate::server::MetricsError;
 
@@ -34,6 +34,14 @@
     pub(crate) refused: IntCounter,
     pub(crate) shed_by_upstream: IntCounter,
     pub(crate) log_lines_suppressed: IntCounter,
+    pub(crate) upstream_crashes: IntCounter,
+    pub(crate) suspected: IntCounter,
+    pub(crate) quarantined: IntCounter,
+    pub(crate) quarantine_ended: IntCounter,
+    pub(crate) quarantine_refused: IntCounter,
+    pub(crate) quarantine_messages: IntCounter,
+    pub(crate) suspects_evicted: IntCounter,
+    pub(crate) suspects: IntGauge,
     pub(crate) latency: Histogram,
 }
 
@@ -50,6 +58,11 @@
             registry.register(Box::new(counter.clone()))?;
             Ok(counter)
         };
+        let suspects = IntGauge::new(
+            format!("{PREFIX}suspects"),
+            "Requests that are suspected or quarantined",
+        )?;
+        registry.register(Box::new(suspects.clone()))?;
         let latency = Histogram::with_opts(
             HistogramOpts::new(format!("{PREFIX}latency_seconds"), "Time to a caller's answer")
                 .buckets(LATENCY_BUCKETS_S.to_vec()),
@@ -69,6 +82,20 @@
                 "log_suppressed_total",
                 "Log lines above the rate limit",
             )?,
+            upstream_crashes: counter("upstream_crashes_total", "Crashes of the upstream")?,
+            suspected: counter("suspected_total", "Requests that became suspects")?,
+            quarantined: counter("quarantined_total", "Requests that were quarantined")?,
+            quarantine_ended: counter("quarantine_ended_total", "Ends of suspicions")?,
+            quarantine_refused: counter("quarantine_refused_total", "Quarantined calls refused")?,
+            quarantine_messages: counter(
+                "quarantine_messages_total",
+                "Messages about suspects sent to other nodes",
+            )?,
+            suspects_evicted: counter(
+                "suspects_evicted_total",
+                "Records of suspects removed because the table was full",
+            )?,
+            suspects,
             latency,
             registry,
         })
--- a/crates/mesh/src/peer.rs
+++ b/crates/mesh/src/peer.rs
@@ -19,6 +19,7 @@
 use crate::http_listener::{Handler, InboundBody};
 use crate::ingress::{Answer, Ingress, NodeLoad, forwarded_headers};
 use crate::protocol_adapter::ProtocolAdapter;
+use crate::quarantine_peers::{QUARANTINE, QuarantinePeers};
 
 /// Version of the internal headers; nodes refuse calls with another version.
 const VERSION: &str = "1";
@@ -106,11 +107,16 @@
 pub(crate) struct PeerHandler<D> {
     clock: Clock,
     ingress: Arc<Ingress<D>>,
+    quarantine_peers: Arc<QuarantinePeers>,
 }
 
 impl<D: ProtocolAdapter> PeerHandler<D> {
-    pub(crate) fn new(clock: Clock, ingress: Arc<Ingress<D>>) -> Self {
-        Self { clock, ingress }
+    pub(crate) fn new(
+        clock: Clock,
+        ingress: Arc<Ingress<D>>,
+        quarantine_peers: Arc<QuarantinePeers>,
+    ) -> Self {
+        Self { clock, ingress, quarantine_peers }
     }
 
     async fn answer(&self, request: Request<InboundBody>) -> Result<Answer, CallFailure> {
@@ -134,6 +140,9 @@
         request: Request<InboundBody>,
         _remote: SocketAddr,
     ) -> Response<AnswerBody> {
+        if let Some(kind) = request.headers().get(QUARANTINE).cloned() {
+            return self.quarantine_peers.handle(&kind, request.into_body()).await;
+        }
         let result = self.answer(request).await;
         let mut response = match result {
             Ok(answer) => {
--- a/crates/mesh/src/protocol_adapter.rs
+++ b/crates/mesh/src/protocol_adapter.rs
@@ -131,6 +131,10 @@
     /// Sets the header that advises a caller how long to wait before a retry.
     fn write_retry_after(&self, headers: &mut HeaderMap, wait: Duration);
 
+    /// Returns the status of the response to a quarantined request, after which callers do not
+    /// retry.
+    fn quarantined_status(&self) -> StatusCode;
+
     /// Sets the request id header in a response that the node itself generates.
     fn write_request_id(&self, headers: &mut HeaderMap, request_id: &HeaderValue);
 
--- a/crates/mesh/src/running_requests.rs
+++ b/crates/mesh/src/running_requests.rs
@@ -1,5 +1,5 @@
 //! Requests that the local upstream is running. Calls that it makes for them inherit their
-//! priority.
+//! priority and whether they are repeats.
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
--- a/crates/mesh/src/server.rs
+++ b/crates/mesh/src/server.rs
@@ -17,16 +17,20 @@
 use crate::caller_listener::CallerHandler;
 use crate::configuration_holder::ConfigurationHolder;
 use crate::connection_pool::ConnectionPool;
+use crate::crash_monitor::{CrashMonitor, CrashMonitorDependencies};
 use crate::dispatch::Dispatcher;
 use crate::endpoints::EndpointTable;
 use crate::http_listener;
-use crate::ingress::Ingress;
+use crate::ingress::{Ingress, IngressDependencies};
 use crate::metrics::Metrics;
 use crate::peer::PeerHandler;
 use crate::protocol_adapter::ProtocolAdapter;
+use crate::quarantine_peers::{QuarantinePeers, QuarantinePeersDependencies};
 use crate::request_log::RequestLog;
 use crate::request_throttles::RequestThrottles;
 use crate::settings::{MeshSettings, SettingsSource};
+use crate::suspects::Suspects;
+use crate::upstream::UpstreamState;
 use crate::upstream_listener::{MetricsHandler, ReadyHandler, UpstreamHandler};
 
 /// Time between a stop request and the close of the listeners, in which callers detect the
@@ -78,6 +82,8 @@
     settings: MeshSettings,
     ingress: Arc<Ingress<D>>,
     endpoints: Arc<EndpointTable>,
+    suspects: Arc<Suspects>,
+    quarantine_peers: Arc<QuarantinePeers>,
     configuration: Arc<ConfigurationHolder>,
     dispatcher: Arc<Dispatcher<D>>,
     metrics: Arc<Metrics>,
@@ -105,6 +111,8 @@
     let control = node.start_control_thread(&control_addresses, control_stop)?;
     let slot_queue = node.ingress.slot_queue.clone();
     let queue_expiry = tokio::spawn(async move { slot_queue.expire_queued_calls().await });
+    let quarantine_peers = Arc::clone(&node.quarantine_peers);
+    let evidence_exchange = tokio::spawn(async move { quarantine_peers.run().await });
     let upstream_tracking = tokio::spawn(track_local_upstream(node.local_endpoint()));
     let reloads = tokio::spawn(reload_settings(log.clone(), source, control_addresses));
 
@@ -119,7 +127,7 @@
     stop_listeners(&log, listeners, stop_traffic, timeout.saturating_sub(drain_period)).await;
     let _ = stop_control.send(true);
     let _ = tokio::task::spawn_blocking(move || control.join()).await;
-    for task in [queue_expiry, upstream_tracking, reloads] {
+    for task in [queue_expiry, evidence_exchange, upstream_tracking, reloads] {
         task.abort();
     }
     info!(log, "node-stopped");
@@ -132,15 +140,42 @@
         let adapter = Arc::new(adapter);
         let metrics = Arc::new(Metrics::new()?);
         let pool = ConnectionPool::new(clock);
-        let ingress = Arc::new(Ingress::new(
-            log.clone(),
-            clock,
-            Arc::clone(&adapter),
-            pool.clone(),
-            Arc::clone(&metrics),
-        ));
+        let vm = settings.vm.name.clone();
         let endpoints = EndpointTable::new(log.clone(), settings.vm.data_centre.clone());
         let endpoints = Arc::new(endpoints);
+        let upstream_state = Arc::new(UpstreamState::new());
+        let suspects = Suspects::new(log.clone(), clock, vm.clone(), Arc::clone(&metrics));
+        let suspects = Arc::new(suspects);
+        let quarantine_peers = Arc::new(QuarantinePeers::new(QuarantinePeersDependencies {
+            vm: vm.clone(),
+            pool: pool.clone(),
+            endpoints: Arc::clone(&endpoints),
+            upstream_state: Arc::clone(&upstream_state),
+            suspects: Arc::clone(&suspects),
+            metrics: Arc::clone(&metrics),
+        }));
+        let crash_monitor = Arc::new(CrashMonitor::new(CrashMonitorDependencies {
+            log: log.clone(),
+            clock,
+            vm: vm.clone(),
+            pool: pool.clone(),
+            upstream_state: Arc::clone(&upstream_state),
+            suspects: Arc::clone(&suspects),
+            peers: Arc::clone(&quarantine_peers),
+            metrics: Arc::clone(&metrics),
+        }));
+        let ingress = Arc::new(Ingress::new(IngressDependencies {
+            log: log.clone(),
+            clock,
+            vm,
+            adapter: Arc::clone(&adapter),
+            pool: pool.clone(),
+            endpoints: Arc::clone(&endpoints),
+            upstream_state,
+            suspects: Arc::clone(&suspects),
+            crash_monitor,
+            metrics: Arc::clone(&metrics),
+        }));
         let dispatcher = Arc::new(Dispatcher {
             clock,
             vm: settings.vm.clone(),
@@ -153,7 +188,18 @@
         });
         let configuration = Arc::new(ConfigurationHolder::new(log.clone()));
         let log = log.clone();
-        Ok(Self { log, adapter, settings, ingress, endpoints, configuration, dispatcher, metrics })
+        Ok(Self {
+            log,
+            adapter,
+            settings,
+            ingress,
+            endpoints,
+            suspects,
+            quarantine_peers,
+            configuration,
+            dispatcher,
+            metrics,
+        })
     }
 
     /// Opens all listeners and serves them until `stop` is set.
@@ -179,7 +225,11 @@
             throttles: RequestThrottles::new(self.dispatcher.clock),
             service: settings.service.clone(),
         };
-        let peer_handler = PeerHandler::new(self.dispatcher.clock, Arc::clone(&self.ingress));
+        let peer_handler = PeerHandler::new(
+            self.dispatcher.clock,
+            Arc::clone(&self.ingress),
+            Arc::clone(&self.quarantine_peers),
+        );
         let upstream_handler = UpstreamHandler {
             log: self.log.clone(),
             adapter: Arc::clone(&self.adapter),
@@ -190,7 +240,11 @@
             ingress: Arc::clone(&self.ingress),
             configuration: Arc::clone(&self.configuration),
         };
-        let metrics_handler = MetricsHandler { metrics: Arc::clone(&self.metrics) };
+        let metrics_handler = MetricsHandler {
+            metrics: Arc::clone(&self.metrics),
+            suspects: Arc::clone(&self.suspects),
+            quarantine_peers: Arc::clone(&self.quarantine_peers),
+        };
         let (log, stop) = (|| self.log.clone(), || stop.clone());
         let mut tasks = JoinSet::new();
         tasks.spawn(http_listener::serve(log(), callers, Arc::new(caller_handler), stop()));
--- a/crates/mesh/src/upstream.rs
+++ b/crates/mesh/src/upstream.rs
@@ -4,6 +4,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use model::ServiceName;
+use policy::request_digest::RequestDigest;
 use tokio::sync::watch;
 
 use crate::protocol_adapter::{InstanceId, UpstreamPhase, UpstreamReport};
@@ -16,6 +17,8 @@
     pub(crate) service: ServiceName,
     /// Maximum number of concurrent calls.
     pub(crate) slots: u32,
+    /// Identifies the process; differs between processes that share an id.
+    pub(crate) incarnation: u64,
 }
 
 /// Lifecycle phase of the known process as the node sees it.
@@ -36,9 +39,24 @@
     phase: Phase,
     /// End of the warm-up time of the process, in microseconds.
     cold_until_us: u64,
+    incarnation: u64,
 }
 
 impl KnownProcess {
+    fn is_stopping(&self) -> bool {
+        matches!(self.phase, Phase::Draining | Phase::Left)
+    }
+
+    fn to_upstream(&self) -> ServingUpstream {
+        ServingUpstream {
+            instance_id: self.report.instance_id.clone(),
+            address: self.report.address,
+            service: self.report.service.clone(),
+            slots: self.report.slots,
+            incarnation: self.incarnation,
+        }
+    }
+
     fn is_same_process(&self, report: &UpstreamReport) -> bool {
         self.report.instance_id == report.instance_id
             && self.report.started_unix_ms == report.started_unix_ms
@@ -94,13 +112,27 @@
     /// Returns the upstream if it accepts calls.
     pub(crate) fn serving(&self) -> Option<ServingUpstream> {
         let known = self.lock();
-        let known = known.as_ref().filter(|known| known.phase == Phase::Serving)?;
-        Some(ServingUpstream {
-            instance_id: known.report.instance_id.clone(),
-            address: known.report.address,
-            service: known.report.service.clone(),
-            slots: known.report.slots,
-        })
+        known.as_ref().filter(|known| known.phase == Phase::Serving).map(KnownProcess::to_upstream)
+    }
+
+    /// Returns the last known process unless it was about to stop.
+    pub(crate) fn last_running(&self) -> Option<ServingUpstream> {
+        let known = self.lock();
+        known.as_ref().filter(|known| !known.is_stopping()).map(KnownProcess::to_upstream)
+    }
+
+    /// Returns whether another process has reported since `upstream` was known.
+    pub(crate) fn is_replaced(&self, upstream: &ServingUpstream) -> bool {
+        let known = self.lock();
+        known.as_ref().is_none_or(|known| known.incarnation != upstream.incarnation)
+    }
+
+    /// Returns whether `upstream` has reported that it is about to stop.
+    pub(crate) fn is_planned_stop(&self, upstream: &ServingUpstream) -> bool {
+        let known = self.lock();
+        known
+            .as_ref()
+            .is_some_and(|known| known.incarnation == upstream.incarnation && known.is_stopping())
     }
 
     /// Returns the service of the last known process.
@@ -154,7 +186,8 @@
             }
         };
         let cold_until_us = now_us + report.cold_remaining.as_micros() as u64;
-        *known = Some(KnownProcess { report, phase, cold_until_us });
+        let incarnation = incarnation(&report);
+        *known = Some(KnownProcess { report, phase, cold_until_us, incarnation });
         drop(known);
         if effect != ReportEffect::Unchanged {
             self.notify_changed();
@@ -192,3 +225,9 @@
         self.known.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Returns a number that identifies the reporting process.
+fn incarnation(report: &UpstreamReport) -> u64 {
+    let started_unix_ms = report.started_unix_ms.unwrap_or(0).to_be_bytes();
+    RequestDigest::new([report.instance_id.as_bytes(), &started_unix_ms]).to_u64()
+}
--- a/crates/mesh/src/upstream_listener.rs
+++ b/crates/mesh/src/upstream_listener.rs
@@ -4,8 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::{HeaderValue, Request, Response, StatusCode, header};
+use http::{HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Collected, Limited};
+use policy::quarantine::Digest;
 use slog::{Logger, warn};
 
 use crate::body::AnswerBody;
@@ -14,6 +15,9 @@
 use crate::ingress::Ingress;
 use crate::metrics::Metrics;
 use crate::protocol_adapter::{ProtocolAdapter, UpstreamNotification, UpstreamPhase};
+use crate::quarantine_peers::QuarantinePeers;
+use crate::request_key::digest_text;
+use crate::suspects::Suspects;
 
 /// Delay before a shutdown notification of the upstream is acknowledged. Several times the latency
 /// of a message to control, so that control has received the change if this node fails right after
@@ -92,9 +96,46 @@
     }
 }
 
-/// Handler that serves the metrics in the Prometheus text format.
+/// Path of the list of suspects. A POST to one of the digests below it ends the suspicion.
+const QUARANTINE_PATH: &str = "/quarantine";
+/// Maximum number of suspects listed.
+const MAX_LISTED_SUSPECTS: usize = 1_000;
+
+/// Handler that serves the metrics in the Prometheus text format and the suspects.
 pub(crate) struct MetricsHandler {
     pub(crate) metrics: Arc<Metrics>,
+    pub(crate) suspects: Arc<Suspects>,
+    pub(crate) quarantine_peers: Arc<QuarantinePeers>,
+}
+
+impl MetricsHandler {
+    /// Returns one line for each suspect or quarantined request.
+    fn list_suspects(&self) -> String {
+        let reports = self.suspects.reports(0, MAX_LISTED_SUSPECTS);
+        let suspects = reports.iter().filter(|report| report.evidence.crashes > 0);
+        let lines = suspects.map(|report| {
+            let status = match self.suspects.is_quarantined(report.digest) {
+                true => "quarantined",
+                false => "suspect",
+            };
+            let (digest, crashes) = (digest_text(report.digest), report.evidence.crashes);
+            let age_s = report.age_us / policy::US_PER_S;
+            format!("digest={digest} status={status} crashes={crashes} age_s={age_s}\n")
+        });
+        lines.collect()
+    }
+
+    /// Ends the suspicion of a request at all nodes of the service.
+    fn release(&self, digest: &str) -> Response<AnswerBody> {
+        let Ok(digest) = Digest::from_str_radix(digest, 16) else {
+            return empty_response(StatusCode::BAD_REQUEST);
+        };
+        if !self.suspects.release(digest) {
+            return empty_response(StatusCode::NOT_FOUND);
+        }
+        self.quarantine_peers.enqueue([digest]);
+        empty_response(StatusCode::OK)
+    }
 }
 
 impl Handler for MetricsHandler {
@@ -103,9 +144,13 @@
         request: Request<InboundBody>,
         _remote: SocketAddr,
     ) -> Response<AnswerBody> {
-        if request.uri().path() != "/metrics" {
-            return empty_response(StatusCode::NOT_FOUND);
+        let path = request.uri().path();
+        let suffix = path.strip_prefix(QUARANTINE_PATH);
+        match (request.method(), suffix.and_then(|suffix| suffix.strip_prefix('/'))) {
+            (&Method::POST, Some(digest)) => self.release(digest),
+            _ if suffix == Some("") => Response::new(AnswerBody::buffered(self.list_suspects())),
+            _ if path == "/metrics" => Response::new(AnswerBody::buffered(self.metrics.to_text())),
+            _ => empty_response(StatusCode::NOT_FOUND),
         }
-        Response::new(AnswerBody::buffered(self.metrics.to_text()))
     }
 }
--- a/crates/node/src/claim_manager.rs
+++ b/crates/node/src/claim_manager.rs
@@ -13,7 +13,7 @@
 use crate::body::{CallBody, MAX_BUFFERED_BYTES};
 use crate::call::CallHead;
 use crate::claim_client::{ClaimClient, ClaimError, ClaimResult, ClaimTarget};
-use crate::request_digest::RequestDigest;
+use crate::request_digest::request_digest;
 use crate::stats::{Counter, Stats};
 use crate::wire_headers::to_rpc_headers;
 
@@ -85,8 +85,8 @@
             route: route.name.to_string(),
             holder: rand::random(),
         };
-        match self.client.claim(&target, RequestDigest::new(head, body).to_bytes(), remaining).await
-        {
+        let digest = Bytes::copy_from_slice(request_digest(head, body).as_bytes());
+        match self.client.claim(&target, digest, remaining).await {
             Ok(ClaimResult::Granted) => {
                 self.stats.increment(Counter::ClaimsGranted);
                 self.record_claim(&target);
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -29,7 +29,7 @@
 use crate::claim_manager::{ClaimManager, ClaimOutcome};
 use crate::death_reporter::DeathReporter;
 use crate::profile_store::ProfileStore;
-use crate::request_digest::RequestDigest;
+use crate::request_digest::request_digest;
 use crate::stats::{Counter, Stats};
 use crate::suspects::{self, Suspects};
 use crate::upstream_client::{SendError, UpstreamClient};
@@ -266,7 +266,7 @@
         mut permit: Permit,
         claim: Option<ClaimTarget>,
     ) -> Result<Answer, CallFailure> {
-        let digest = RequestDigest::new(&head, &body).to_u64();
+        let digest = request_digest(&head, &body).to_u64();
         let allowance = head.retry_allowance;
         let remaining = self.remaining(&head);
         let run_permit = self.suspects.acquire(digest, head.class, self.gate.load());
--- a/crates/node/src/suspects.rs
+++ b/crates/node/src/suspects.rs
@@ -1,6 +1,7 @@
 //! Requests suspected of crashing upstreams: their isolation and quarantine, and the reports of
 //! upstream deaths.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -8,14 +9,11 @@
 use daemon::Clock;
 use model::{Class, Reason};
 use policy::admission::AdmissionLoad;
-use policy::quarantine::{Digest, ProcessId, Quarantine, QuarantineStatus, RunMode};
+use policy::quarantine::{self, Digest, ProcessId, Quarantine, RunMode};
 use rpc::{DeathReport, RunningRequest};
 use tokio::net::TcpStream;
 use tokio::sync::{RwLock, RwLockWriteGuard};
 
-/// Maximum utilization of the concurrency limit at which a suspect below the class critical may
-/// run, in percent.
-const MAX_ISOLATION_UTILIZATION_PERCENT: u32 = 75;
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 const CONNECT_ATTEMPTS: u32 = 5;
 const CONNECT_INTERVAL: Duration = Duration::from_millis(5);
@@ -86,24 +84,28 @@
         class: Class,
         load: AdmissionLoad,
     ) -> Result<RunPermit<'_>, Reason> {
-        match self.status(digest) {
-            QuarantineStatus::Clear => {
+        match self.run_mode(digest) {
+            Some(RunMode::Shared) => {
                 drop(self.isolation.read().await);
                 return Ok(RunPermit::Shared);
             }
-            QuarantineStatus::Suspect if class < Class::Critical && is_busy(load) => {
+            Some(_)
+                if class < Class::Critical
+                    && !quarantine::may_isolate(load.in_flight, load.limit) =>
+            {
                 return Err(Reason::Overloaded);
             }
-            QuarantineStatus::Suspect | QuarantineStatus::Quarantined => {}
+            Some(_) => {}
+            None => return Err(Reason::Quarantined),
         }
         let next_isolation = *self.next_isolation();
         tokio::time::sleep_until(next_isolation.into()).await;
         let guard = self.isolation.write().await;
-        match self.status(digest) {
-            QuarantineStatus::Quarantined => Err(Reason::Quarantined),
+        match self.run_mode(digest) {
+            None => Err(Reason::Quarantined),
             // Cleared during the wait, so no isolation is needed.
-            QuarantineStatus::Clear => Ok(RunPermit::Shared),
-            QuarantineStatus::Suspect => {
+            Some(RunMode::Shared) => Ok(RunPermit::Shared),
+            Some(_) => {
                 let started = Instant::now();
                 let isolation = IsolationGuard { suspects: self, started, _guard: guard };
                 Ok(RunPermit::Isolated { _isolation: isolation })
@@ -113,7 +115,7 @@
 
     /// Clears a suspect that the upstream answered. A quarantined request stays quarantined.
     pub(crate) fn clear(&self, digest: Digest) {
-        self.quarantine().clear(digest);
+        self.quarantine().clear(self.clock.now_us(), digest);
     }
 
     /// Records the requests that an upstream process was running when it died.
@@ -135,8 +137,8 @@
         self.quarantine().len()
     }
 
-    fn status(&self, digest: Digest) -> QuarantineStatus {
-        self.quarantine().status(digest)
+    fn run_mode(&self, digest: Digest) -> Option<RunMode> {
+        self.quarantine().run_mode(self.clock.now_us(), digest)
     }
 
     fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
@@ -148,11 +150,6 @@
     }
 }
 
-/// Returns whether the utilization is too high to run a suspect below the class critical.
-fn is_busy(load: AdmissionLoad) -> bool {
-    load.in_flight * 100 > load.limit * MAX_ISOLATION_UTILIZATION_PERCENT
-}
-
 /// Creates the report of the death of an upstream process that was running one request.
 pub(crate) fn death_report(
     vm: &str,
@@ -170,7 +167,9 @@
 pub(crate) async fn is_listener_closed(address: SocketAddr) -> bool {
     for _ in 0..CONNECT_ATTEMPTS {
         let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
-        if matches!(connect.await, Ok(Err(_))) {
+        if let Ok(Err(error)) = connect.await
+            && error.kind() == io::ErrorKind::ConnectionRefused
+        {
             return true;
         }
         tokio::time::sleep(CONNECT_INTERVAL).await;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,9 +4,10 @@
 //! here reads a clock, starts a thread, opens a socket or draws a random number, so tests and
 //! simulations can run the logic deterministically.
 //!
-//! The sidecar (crate `node`) uses [`admission`], [`routing`], [`shed`], [`quarantine`] and the
-//! retry allowance and budget of a profile. The mesh (crate `mesh`) uses [`slots`], [`placement`],
-//! [`overload`], [`weighted_split`] and the retry budget shared by all nodes.
+//! The sidecar (crate `node`) uses [`admission`], [`routing`], [`shed`] and the retry allowance and
+//! budget of a profile. The mesh (crate `mesh`) uses [`slots`], [`placement`], [`overload`],
+//! [`weighted_split`], [`run_table`] and the retry budget shared by all nodes. Both use
+//! [`quarantine`] and [`request_digest`].
 
 pub mod admission;
 pub mod burn;
@@ -16,11 +17,13 @@
 pub mod overload;
 pub mod placement;
 pub mod quarantine;
+pub mod request_digest;
 pub mod retry;
 pub mod retry_after;
 pub mod retry_allowance;
 pub mod retry_budget;
 pub mod routing;
+pub mod run_table;
 pub mod shared_retry_budget;
 pub mod shed;
 pub mod slots;
--- /dev/null
+++ b/crates/policy/src/run_table.rs
@@ -0,0 +1,117 @@
+//! Requests that one upstream process is running or may still be running.
+//!
+//! When the process dies, all of them may have caused it. That includes a run whose connection was
+//! closed shortly before, for example because its caller gave up: the process may have crashed
+//! before it noticed.
+
+use std::collections::VecDeque;
+
+use indexmap::IndexMap;
+
+use crate::US_PER_S;
+use crate::quarantine::{ProcessId, RunMode};
+
+/// Time for which an abandoned run counts as possibly running, in microseconds. Upstreams notice a
+/// closed connection much sooner.
+const ABANDONED_RETENTION_US: u64 = 2 * US_PER_S;
+/// Maximum number of abandoned runs stored.
+const MAX_ABANDONED_RUNS: usize = 256;
+
+/// Identifier of a run in its table.
+pub type RunId = u64;
+
+/// A run of a request of type `R`.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Run<R> {
+    /// The request.
+    pub request: R,
+    /// Process that runs it.
+    pub process: ProcessId,
+    /// How isolated it runs.
+    pub run_mode: RunMode,
+}
+
+#[derive(Debug)]
+struct AbandonedRun<R> {
+    run: Run<R>,
+    abandoned_us: u64,
+}
+
+/// Runs of the upstream of one VM.
+#[derive(Debug)]
+pub struct RunTable<R> {
+    next_id: RunId,
+    running: IndexMap<RunId, Run<R>>,
+    abandoned: VecDeque<AbandonedRun<R>>,
+}
+
+impl<R> Default for RunTable<R> {
+    fn default() -> Self {
+        Self { next_id: 0, running: IndexMap::new(), abandoned: VecDeque::new() }
+    }
+}
+
+impl<R> RunTable<R> {
+    /// Creates an empty table.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds a run that starts.
+    pub fn start(&mut self, run: Run<R>) -> RunId {
+        self.next_id += 1;
+        self.running.insert(self.next_id, run);
+        self.next_id
+    }
+
+    /// Records that other requests may run beside an isolated one from now on.
+    pub fn end_isolation(&mut self, id: RunId) {
+        if let Some(run) = self.running.get_mut(&id) {
+            run.run_mode = run.run_mode.min(RunMode::Probation);
+        }
+    }
+
+    /// Removes a run that ended with an answer or a refusal of the process.
+    pub fn finish(&mut self, id: RunId) -> Option<Run<R>> {
+        self.running.swap_remove(&id)
+    }
+
+    /// Records that the connection of a run was closed before its end.
+    pub fn abandon(&mut self, now_us: u64, id: RunId) {
+        let Some(run) = self.running.swap_remove(&id) else { return };
+        self.expire(now_us);
+        if self.abandoned.len() >= MAX_ABANDONED_RUNS {
+            self.abandoned.pop_front();
+        }
+        self.abandoned.push_back(AbandonedRun { run, abandoned_us: now_us });
+    }
+
+    /// Removes and returns the runs of a process that has died.
+    pub fn take_crashed(&mut self, now_us: u64, process: &ProcessId) -> Vec<Run<R>> {
+        self.expire(now_us);
+        let running = self.running.extract_if(.., |_, run| run.process == *process);
+        let mut crashed: Vec<Run<R>> = running.map(|(_, run)| run).collect();
+        let (ended, others) = std::mem::take(&mut self.abandoned)
+            .into_iter()
+            .partition(|abandoned| abandoned.run.process == *process);
+        self.abandoned = others;
+        let ended: VecDeque<AbandonedRun<R>> = ended;
+        crashed.extend(ended.into_iter().map(|abandoned| abandoned.run));
+        crashed
+    }
+
+    /// Returns whether a process has runs in the table.
+    pub fn has_runs(&self, process: &ProcessId) -> bool {
+        let abandoned = self.abandoned.iter().map(|abandoned| &abandoned.run);
+        self.running.values().chain(abandoned).any(|run| run.process == *process)
+    }
+
+    fn expire(&mut self, now_us: u64) {
+        let is_expired = |abandoned: &AbandonedRun<R>| {
+            now_us.saturating_sub(abandoned.abandoned_us) >= ABANDONED_RETENTION_US
+        };
+        while self.abandoned.front().is_some_and(is_expired) {
+            self.abandoned.pop_front();
+        }
+    }
+}
--- a/crates/policy/tests/routing.rs
+++ b/crates/policy/tests/routing.rs
@@ -152,7 +152,7 @@
     );
     quarantine.record_death(S, &process("a1", 2), 7, RunMode::Isolated);
     assert_eq!(quarantine.status(7), QuarantineStatus::Quarantined);
-    quarantine.clear(7);
+    quarantine.clear(S, 7);
     assert_eq!(quarantine.status(7), QuarantineStatus::Quarantined, "a quarantine is not cleared");
 }
 
@@ -163,7 +163,7 @@
         quarantine.record_death(S, &process("a1", incarnation), 7, RunMode::Shared);
     }
     assert_eq!(quarantine.status(7), QuarantineStatus::Suspect);
-    quarantine.clear(7);
+    quarantine.clear(S, 7);
     assert_eq!(quarantine.status(7), QuarantineStatus::Clear);
 }
 
