Charge a retry with the calls that it repeats

Cause: the rule counts the calls that a retried run makes again as repeats where they go. A retry of a call in progress cost 1 at its own service whatever it called, and a new request 3. Page reads go through licence-check and asset-lookup to five spec-lookups, so each retried asset-lookup brought six arrivals for a cost of one, at three levels at once, and the budget at spec-tables did not know of them. Change: answers between nodes carry how many calls a run made below it; the mean by kind is the cost of a retry. A run that repeats another marks its calls, which are charged to the budgets of the services that they go to. Measured: repeats_below_retried_requests_stay_within_bounds, four services in a chain with lost answers at each, failed with the costs of before (147 repeats, 134.8 allowed) and passes.

--- a/crates/mesh/src/call.rs
+++ b/crates/mesh/src/call.rs
@@ -27,6 +27,8 @@
     /// Digest of the route; see [`route_kind`].
     pub(crate) kind: CallKind,
     pub(crate) idempotence: Idempotence,
+    /// Whether the call was sent before, or belongs to a request that was.
+    pub(crate) is_repeat: bool,
     /// Deadline of the response on the clock of this process, in microseconds.
     pub(crate) deadline_us: u64,
     /// Maximum useful wait for a slot, in microseconds.
--- a/crates/mesh/src/caller_listener.rs
+++ b/crates/mesh/src/caller_listener.rs
@@ -22,7 +22,7 @@
 use crate::ingress::{Answer, forwarded_headers};
 use crate::protocol_adapter::{ProtocolAdapter, RequestMetadata};
 use crate::request_throttles::{NewRequest, RequestThrottles};
-use crate::running_requests::InheritedPriority;
+use crate::running_requests::ParentRequest;
 
 /// Timeout of a request if neither the caller nor the route sets one, in milliseconds. Also the
 /// maximum time that a call of a request in progress may wait for a slot.
@@ -95,10 +95,10 @@
         started_us: u64,
     ) -> CallHead {
         let ingress = &self.dispatcher.ingress;
-        let inherited_priority =
-            metadata.request_id.as_ref().and_then(|id| ingress.inherited_priority(id));
-        let (priority, sequence) = match inherited_priority {
-            Some(InheritedPriority { priority_level, sequence }) => {
+        let parent_request = metadata.request_id.as_ref().and_then(|id| ingress.parent_request(id));
+        let is_repeat = parent_request.is_some_and(|parent| parent.is_repeat);
+        let (priority, sequence) = match parent_request {
+            Some(ParentRequest { priority_level, sequence, .. }) => {
                 (CallPriority::InProgress(priority_level), sequence)
             }
             None => (CallPriority::NewRequest(route.priority), rand::random()),
@@ -115,6 +115,7 @@
             sequence,
             kind: call::route_kind(route),
             idempotence: route.idempotence,
+            is_repeat,
             deadline_us: started_us + remaining_time(metadata, route).as_micros() as u64,
             max_wait_us: max_wait_us(priority, route),
         }
@@ -138,7 +139,12 @@
         route: &HostRoute,
     ) -> Result<Answer, CallFailure> {
         let service = head.service.clone();
+        let request_id = head.request_id.clone();
         let result = self.dispatcher.run(head, body, route.max_attempts).await;
+        if let (Ok(answer), Some(request_id)) = (&result, &request_id) {
+            let calls = answer.calls.unwrap_or(0).saturating_add(1);
+            self.dispatcher.ingress.add_calls(request_id, calls);
+        }
         let is_not_run = result.as_ref().is_err_and(|failure| failure.outcome == Outcome::NotRun);
         let now_us = self.dispatcher.clock.now_us();
         let overload = match is_not_run {
--- a/crates/mesh/src/dispatch.rs
+++ b/crates/mesh/src/dispatch.rs
@@ -1,14 +1,14 @@
 //! Sends a call to VMs of its service: VM selection, deadline and retries.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use daemon::Clock;
 use http::StatusCode;
 use model::{Idempotence, Outcome, Reason, Vm, VmName};
 use policy::placement::PlacementResult;
+use policy::retry_cost::RetryCosts;
 use policy::shared_retry_budget::RetryBounds;
-use policy::slots::CallPriority;
 use slog::info;
 
 use crate::body::CallBody;
@@ -27,11 +27,6 @@
 const MAX_VMS_TRIED: usize = 4;
 /// Minimum time to the deadline that another attempt requires, in microseconds.
 const MIN_REMAINING_US: u64 = 20_000;
-/// Cost of a retry of a new request, charged to the retry budget. The retry repeats the calls that
-/// the request makes to other services.
-const NEW_REQUEST_RETRY_COST: f64 = 3.0;
-/// Cost of a retry of a call of a request in progress, charged to the retry budget.
-const IN_PROGRESS_RETRY_COST: f64 = 1.0;
 /// Overload probability of a service above which an error response is not retried. If the services
 /// that it calls lack capacity, a retry would repeat all its calls to them and fail again.
 const MAX_RETRY_OVERLOAD: f64 = 0.05;
@@ -44,6 +39,7 @@
     pub(crate) endpoints: Arc<EndpointTable>,
     pub(crate) pool: ConnectionPool,
     pub(crate) retry_bounds: RetryBounds,
+    pub(crate) retry_costs: Mutex<RetryCosts>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) request_log: RequestLog,
 }
@@ -67,9 +63,9 @@
         body: CallBody,
         max_attempts: u32,
     ) -> Result<Answer, CallFailure> {
-        self.endpoints.record_request(self.clock.now_us(), &head.service, self.retry_bounds);
+        self.record_request(&head);
         let mut history = AttemptHistory::default();
-        let mut body = body;
+        let (mut head, mut body) = (head, body);
         loop {
             let now_us = self.clock.now_us();
             let chosen = self.endpoints.choose(now_us, &head.service, &history.tried);
@@ -87,7 +83,10 @@
                     history.error_answer = Some(answer);
                     CallFailure::unknown(Reason::UpstreamError)
                 }
-                Ok(answer) => return Ok(answer),
+                Ok(answer) => {
+                    self.record_answer(&head, &answer);
+                    return Ok(answer);
+                }
                 Err(failure) => failure,
             };
             history.upstream_attempts += u32::from(failure.has_reached_upstream);
@@ -102,10 +101,34 @@
             else {
                 return history.into_result(failure);
             };
+            head.is_repeat |= history.upstream_attempts > 0;
             body = next;
         }
     }
 
+    /// Records how many calls a run made, which is the cost of a retry of its kind.
+    fn record_answer(&self, head: &CallHead, answer: &Answer) {
+        if let Some(calls) = answer.calls.filter(|_| answer.status.is_success()) {
+            self.retry_costs().record_answer(head.kind, calls);
+        }
+    }
+
+    fn retry_costs(&self) -> MutexGuard<'_, RetryCosts> {
+        self.retry_costs.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Records a call in the retry budget of its service.
+    fn record_request(&self, head: &CallHead) {
+        let now_us = self.clock.now_us();
+        match head.is_repeat {
+            true => {
+                self.metrics.calls_of_retried.inc();
+                self.endpoints.charge_repeat(now_us, &head.service, self.retry_bounds);
+            }
+            false => self.endpoints.record_request(now_us, &head.service, self.retry_bounds),
+        }
+    }
+
     /// Returns whether another attempt may be made. Charges it to the retry budget if the last
     /// attempt may have reached an upstream.
     fn may_retry(
@@ -129,10 +152,7 @@
         if !failure.has_reached_upstream {
             return true;
         }
-        let cost = match head.priority {
-            CallPriority::InProgress(_) => IN_PROGRESS_RETRY_COST,
-            CallPriority::NewRequest(_) => NEW_REQUEST_RETRY_COST,
-        };
+        let cost = self.retry_costs().cost(head.kind);
         let is_within_budget =
             self.endpoints.withdraw_retry(now_us, &head.service, self.retry_bounds, cost);
         if is_within_budget {
--- a/crates/mesh/src/endpoints.rs
+++ b/crates/mesh/src/endpoints.rs
@@ -232,6 +232,15 @@
         }
     }
 
+    /// Charges a call of a retried request to the retry budget of a service.
+    pub(crate) fn charge_repeat(&self, now_us: u64, service: &ServiceName, bounds: RetryBounds) {
+        let mut table = self.lock();
+        let nodes = table.vms.len();
+        if let Some(endpoints) = table.services.get_mut(service) {
+            endpoints.retry_budget(now_us, bounds, nodes).charge(now_us, bounds, nodes);
+        }
+    }
+
     /// Withdraws the cost of a retry from the budget of a service. Returns whether the budget
     /// sufficed.
     pub(crate) fn withdraw_retry(
--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -26,7 +26,7 @@
 };
 use crate::request_key::{RequestKey, digest_text};
 use crate::request_log::RequestLog;
-use crate::running_requests::{InheritedPriority, RunningRequests};
+use crate::running_requests::{ParentRequest, RunningRequests};
 use crate::slot_queue::{Permit, SlotQueue};
 use crate::suspects::{SuspectCall, SuspectPass, SuspectRefusal, Suspects};
 use crate::upstream::{ReportEffect, ServingUpstream, UpstreamState};
@@ -40,6 +40,9 @@
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
     pub(crate) body: AnswerBody,
+    /// Number of calls that the run made, over all levels below it. `None` if a node of an older
+    /// version answered.
+    pub(crate) calls: Option<u32>,
 }
 
 /// Load of a node, sent with each of its responses.
@@ -142,10 +145,18 @@
 
     /// Returns the parent request if `request_id` belongs to a call that the
     /// upstream makes on behalf of a request that it is running.
-    pub(crate) fn inherited_priority(&self, request_id: &HeaderValue) -> Option<InheritedPriority> {
+    pub(crate) fn parent_request(&self, request_id: &HeaderValue) -> Option<ParentRequest> {
         self.running_requests.get_by_id(self.adapter.parent_id(request_id)?)
     }
 
+    /// Adds calls to the running request that they were made for. `request_id` is the id of one of
+    /// them.
+    pub(crate) fn add_calls(&self, request_id: &HeaderValue, calls: u32) {
+        if let Some(parent_id) = self.adapter.parent_id(request_id) {
+            self.running_requests.add_calls(parent_id, calls);
+        }
+    }
+
     /// Records a call made by the upstream, with the overload probability of the called service.
     pub(crate) fn record_call(&self, overload: f64) {
         self.lock_overload().record_call(self.clock.now_us(), overload);
@@ -355,12 +366,15 @@
             Idempotence::NonIdempotent => ReusePolicy::RecentlyUsed,
         };
         self.metrics.dispatched.inc();
-        let inherited_priority =
-            InheritedPriority { priority_level: head.priority.level(), sequence: head.sequence };
-        let _running_guard = RunningRequests::register(
+        let parent_request = ParentRequest {
+            priority_level: head.priority.level(),
+            sequence: head.sequence,
+            is_repeat: head.is_repeat,
+        };
+        let running_guard = RunningRequests::register(
             &self.running_requests,
             head.request_id.as_ref(),
-            inherited_priority,
+            parent_request,
         );
         let sent = self.pool.send(upstream.address, request, reuse).await;
         let (response, connection) = match sent {
@@ -383,7 +397,10 @@
             head.request_id.as_ref(),
         );
         match classification {
-            AnswerClassification::Answer => read_answer(response, connection, permit, run).await,
+            AnswerClassification::Answer => {
+                let answer = read_answer(response, connection, permit, run).await?;
+                Ok(Answer { calls: Some(running_guard.calls()), ..answer })
+            }
             AnswerClassification::AtCapacity => {
                 run.finish_not_run();
                 permit.finish_at_capacity();
@@ -430,7 +447,7 @@
     if is_large {
         let guard = StreamGuard::Upstream { _permit: permit, connection, run: Box::new(run) };
         let body = AnswerBody::streaming(bytes::Bytes::new(), incoming, guard);
-        return Ok(Answer { status: parts.status, headers, body });
+        return Ok(Answer { status: parts.status, headers, body, calls: None });
     }
     let Ok((buffered, is_complete)) = body::read_buffered(&mut incoming).await else {
         run.finish_broken().await;
@@ -445,7 +462,7 @@
         let guard = StreamGuard::Upstream { _permit: permit, connection, run: Box::new(run) };
         AnswerBody::streaming(buffered, incoming, guard)
     };
-    Ok(Answer { status: parts.status, headers, body })
+    Ok(Answer { status: parts.status, headers, body, calls: None })
 }
 
 /// Returns the connection of a refused call to the pool if the body of the refusal fits the buffer.
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -30,6 +30,7 @@
     pub(crate) outcome_unknown: IntCounter,
     pub(crate) attempts: IntCounter,
     pub(crate) retries: IntCounter,
+    pub(crate) calls_of_retried: IntCounter,
     pub(crate) dispatched: IntCounter,
     pub(crate) refused: IntCounter,
     pub(crate) shed_by_upstream: IntCounter,
@@ -75,6 +76,10 @@
             outcome_unknown: counter("unknown_total", "Requests that failed and may have run")?,
             attempts: counter("attempts_total", "Calls sent to a node, the own one included")?,
             retries: counter("repeats_total", "Calls sent again after they may have run")?,
+            calls_of_retried: counter(
+                "calls_of_repeats_total",
+                "Calls that the upstream made again for a retried request",
+            )?,
             dispatched: counter("dispatched_total", "Calls sent to the upstream")?,
             refused: counter("refused_total", "Calls refused before dispatch")?,
             shed_by_upstream: counter("shed_total", "Calls that the upstream refused")?,
--- a/crates/mesh/src/peer.rs
+++ b/crates/mesh/src/peer.rs
@@ -25,14 +25,17 @@
 const VERSION: &str = "1";
 const SERVICE: HeaderName = HeaderName::from_static(headers::SERVICE);
 /// Fields of a call, separated by spaces: version, route digest, whether the request is in
-/// progress, priority level, sequence, time to the deadline and maximum wait in microseconds, and
-/// whether it is idempotent.
+/// progress, priority level, sequence, time to the deadline and maximum wait in microseconds,
+/// whether it is idempotent, and whether it is a repeat. The last field is absent in calls of older
+/// nodes.
 const CALL: HeaderName = HeaderName::from_static("heatherweir-call");
 /// Service of the VM that the call comes from.
 const CALLER: HeaderName = HeaderName::from_static("heatherweir-caller");
 /// Fields of a node's load, separated by spaces: calls in flight, queued calls, limit, whether the
 /// node is leaving, and overload probability in thousandths.
 const LOAD: HeaderName = HeaderName::from_static("heatherweir-load");
+/// Number of calls that a run made, over all levels below it. Absent in answers of older nodes.
+const CALLS: HeaderName = HeaderName::from_static("heatherweir-calls");
 const OUTCOME: HeaderName = HeaderName::from_static(headers::OUTCOME);
 const REASON: HeaderName = HeaderName::from_static(headers::REASON);
 /// Expected wait for a slot in microseconds, and whether the call may have reached the upstream.
@@ -81,6 +84,7 @@
         return (Err(CallFailure::unknown(Reason::VersionMismatch)), None);
     };
     let failure = decode_failure(&parts.headers);
+    let calls = parts.headers.get(CALLS).and_then(|value| value.to_str().ok()?.parse().ok());
     let read = match incoming.size_hint().lower() > body::MAX_BUFFERED_BYTES as u64 {
         true => Ok((bytes::Bytes::new(), false)),
         false => body::read_buffered(&mut incoming).await,
@@ -97,7 +101,8 @@
     let result = match failure {
         Some(failure) => Err(failure),
         None => {
-            Ok(Answer { status: parts.status, headers: forwarded_headers(parts.headers), body })
+            let headers = forwarded_headers(parts.headers);
+            Ok(Answer { status: parts.status, headers, body, calls })
         }
     };
     (result, Some(load))
@@ -149,6 +154,9 @@
                 let mut response = Response::new(answer.body);
                 *response.status_mut() = answer.status;
                 *response.headers_mut() = answer.headers;
+                if let Some(calls) = answer.calls {
+                    response.headers_mut().insert(CALLS, HeaderValue::from(calls));
+                }
                 response
             }
             Err(failure) => encode_failure(&failure),
@@ -163,10 +171,11 @@
     let is_in_progress = u8::from(head.priority.is_in_progress());
     let (priority_level, sequence) = (head.priority.level(), head.sequence);
     let is_idempotent = u8::from(head.idempotence == Idempotence::Idempotent);
+    let is_repeat = u8::from(head.is_repeat);
     let (kind, max_wait_us) = (head.kind, head.max_wait_us);
     let call = format!(
         "{VERSION} {kind} {is_in_progress} {priority_level} {sequence} {remaining_us} \
-         {max_wait_us} {is_idempotent}"
+         {max_wait_us} {is_idempotent} {is_repeat}"
     );
     let mut request = Request::new(body);
     *request.method_mut() = head.method.clone();
@@ -213,6 +222,7 @@
         1 => Idempotence::Idempotent,
         _ => Idempotence::NonIdempotent,
     };
+    let is_repeat = number().is_ok_and(|field| field != 0);
     let headers = forwarded_headers(parts.headers);
     let request_id = ingress.request_id(&headers);
     Ok(CallHead {
@@ -226,6 +236,7 @@
         sequence,
         kind,
         idempotence,
+        is_repeat,
         deadline_us: clock.now_us().saturating_add(remaining_us),
         max_wait_us,
     })
--- a/crates/mesh/src/running_requests.rs
+++ b/crates/mesh/src/running_requests.rs
@@ -6,19 +6,28 @@
 
 use http::HeaderValue;
 
-/// Priority that a call inherits from its parent request.
+/// Properties that a call inherits from its parent request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct InheritedPriority {
+pub(crate) struct ParentRequest {
     /// Priority level of the request; zero is the highest.
     pub(crate) priority_level: u32,
     /// Orders requests of equal priority level; the lower value is served first.
     pub(crate) sequence: u32,
+    /// Whether this run of the request repeats an earlier one, so that its calls are repeats too.
+    pub(crate) is_repeat: bool,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct RunningRequest {
+    parent: ParentRequest,
+    /// Number of calls that the upstream has made for the request, over all levels below it.
+    calls: u32,
 }
 
 /// Running requests by request id.
 #[derive(Debug, Default)]
 pub(crate) struct RunningRequests {
-    requests: Mutex<HashMap<HeaderValue, InheritedPriority>>,
+    requests: Mutex<HashMap<HeaderValue, RunningRequest>>,
 }
 
 impl RunningRequests {
@@ -26,21 +35,30 @@
     pub(crate) fn register(
         requests: &Arc<Self>,
         id: Option<&HeaderValue>,
-        inherited_priority: InheritedPriority,
+        parent_request: ParentRequest,
     ) -> RunningRequestGuard {
         if let Some(id) = id {
-            requests.lock().insert(id.clone(), inherited_priority);
+            let request = RunningRequest { parent: parent_request, calls: 0 };
+            requests.lock().insert(id.clone(), request);
         }
         RunningRequestGuard { requests: Arc::clone(requests), id: id.cloned() }
     }
 
-    /// Returns the priority of a running request.
-    pub(crate) fn get_by_id(&self, id: &[u8]) -> Option<InheritedPriority> {
+    /// Returns the properties of a running request.
+    pub(crate) fn get_by_id(&self, id: &[u8]) -> Option<ParentRequest> {
         let id = HeaderValue::from_bytes(id).ok()?;
-        self.lock().get(&id).copied()
+        self.lock().get(&id).map(|request| request.parent)
+    }
+
+    /// Adds calls that the upstream has made for a running request.
+    pub(crate) fn add_calls(&self, id: &[u8], calls: u32) {
+        let Ok(id) = HeaderValue::from_bytes(id) else { return };
+        if let Some(request) = self.lock().get_mut(&id) {
+            request.calls = request.calls.saturating_add(calls);
+        }
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<HeaderValue, InheritedPriority>> {
+    fn lock(&self) -> MutexGuard<'_, HashMap<HeaderValue, RunningRequest>> {
         self.requests.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
@@ -51,6 +69,14 @@
     id: Option<HeaderValue>,
 }
 
+impl RunningRequestGuard {
+    /// Returns the number of calls made for the request so far, over all levels below it.
+    pub(crate) fn calls(&self) -> u32 {
+        let id = self.id.as_ref();
+        id.and_then(|id| self.requests.lock().get(id).map(|request| request.calls)).unwrap_or(0)
+    }
+}
+
 impl Drop for RunningRequestGuard {
     fn drop(&mut self) {
         if let Some(id) = &self.id {
--- a/crates/mesh/src/server.rs
+++ b/crates/mesh/src/server.rs
@@ -183,6 +183,7 @@
             endpoints: Arc::clone(&endpoints),
             pool,
             retry_bounds: settings.retry_bounds,
+            retry_costs: Mutex::default(),
             metrics: Arc::clone(&metrics),
             request_log: RequestLog::new(log.clone(), clock),
         });
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! The sidecar (crate `node`) uses [`admission`], [`routing`], [`shed`] and the retry allowance and
 //! budget of a profile. The mesh (crate `mesh`) uses [`slots`], [`placement`], [`overload`],
-//! [`weighted_split`], [`run_table`] and the retry budget shared by all nodes. Both use
+//! [`weighted_split`], [`run_table`], [`retry_cost`] and the retry budget shared by all nodes. Both use
 //! [`quarantine`] and [`request_digest`].
 
 pub mod admission;
@@ -22,6 +22,7 @@
 pub mod retry_after;
 pub mod retry_allowance;
 pub mod retry_budget;
+pub mod retry_cost;
 pub mod routing;
 pub mod run_table;
 pub mod shared_retry_budget;
--- a/crates/policy/src/shared_retry_budget.rs
+++ b/crates/policy/src/shared_retry_budget.rs
@@ -5,6 +5,9 @@
 //! coordinate before a retry: each gets an equal part of the slack and earns the share with its own
 //! requests. Both parts are kept well below the bound, since windows slide and the number of nodes
 //! known here may be out of date.
+//!
+//! A retried request makes all its calls again. These count as repeats at the called services, so
+//! they are charged to the budgets of the nodes that make them.
 
 use crate::US_PER_S;
 
@@ -67,17 +70,29 @@
         if self.earned_retries + self.remaining_slack < cost {
             return false;
         }
-        let from_earned_retries = cost.min(self.earned_retries);
+        let from_earned_retries = cost.min(self.earned_retries.max(0.0));
         self.earned_retries -= from_earned_retries;
         self.remaining_slack -= cost - from_earned_retries;
         true
     }
 
+    /// Charges a call that is repeated because its request was retried at another service. It cannot
+    /// be refused, so it may overdraw the budget, which then covers no retries until it has earned
+    /// the difference.
+    pub fn charge(&mut self, now_us: u64, bounds: RetryBounds, nodes: usize) {
+        self.decay_and_refill(now_us, bounds, nodes);
+        self.earned_retries -= 1.0;
+    }
+
     fn decay_and_refill(&mut self, now_us: u64, bounds: RetryBounds, nodes: usize) {
         let elapsed_s = now_us.saturating_sub(self.updated_us) as f64 / US_PER_S as f64;
         let elapsed_windows = elapsed_s / bounds.window_s.max(1.0);
         self.updated_us = self.updated_us.max(now_us);
         self.recent_requests *= (-elapsed_windows).exp();
+        if self.earned_retries < 0.0 {
+            // Calls that lie more than a window back no longer count.
+            self.earned_retries *= (-elapsed_windows).exp();
+        }
         self.earned_retries =
             self.earned_retries.min(self.recent_requests * bounds.ratio * USED_SHARE);
         let node_slack = node_slack(bounds, nodes);
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -2,6 +2,7 @@
 
 use model::{DataCentreName, VmName};
 use policy::placement::{Placement, PlacementLoad, PlacementResult};
+use policy::retry_cost::RetryCosts;
 use policy::shared_retry_budget::{RetryBounds, SharedRetryBudget};
 use policy::weighted_split::WeightedSplit;
 use proptest::prelude::*;
@@ -164,6 +165,109 @@
     }
 }
 
+/// A chain of services in which each call is lost with the same probability and retried as the
+/// budgets of one node allow. Counts the arrivals at each service.
+struct LossyChain {
+    now_us: u64,
+    is_fault: bool,
+    budgets: Vec<SharedRetryBudget>,
+    costs: RetryCosts,
+    random: u64,
+    /// Arrivals at the last service, first and repeated ones.
+    deep_requests: Vec<u64>,
+    deep_repeats: Vec<u64>,
+}
+
+impl LossyChain {
+    const NODES: usize = 12;
+    const BOUNDS: RetryBounds = RetryBounds { ratio: 0.2, slack: 60.0, window_s: 10.0 };
+    /// Calls that a run at each service makes to the next one.
+    const FAN_OUT: [u32; 4] = [1, 1, 5, 0];
+
+    /// Calls a service, with a retry if the answer is lost. Returns the calls made below, or `None`
+    /// if the call fails.
+    fn call(&mut self, service: usize, is_repeat: bool) -> Option<u32> {
+        let now_us = self.now_us;
+        match is_repeat {
+            true => self.budgets[service].charge(now_us, Self::BOUNDS, Self::NODES),
+            false => self.budgets[service].record_request(now_us, Self::BOUNDS, Self::NODES),
+        }
+        if let Some(calls) = self.run(service, is_repeat) {
+            return Some(calls);
+        }
+        let cost = self.costs.cost(service as u64);
+        let budget = &mut self.budgets[service];
+        match budget.withdraw(now_us, Self::BOUNDS, Self::NODES, cost) {
+            true => self.run(service, true),
+            false => None,
+        }
+    }
+
+    fn run(&mut self, service: usize, is_repeat: bool) -> Option<u32> {
+        if service == Self::FAN_OUT.len() - 1 {
+            let arrivals = if is_repeat { &mut self.deep_repeats } else { &mut self.deep_requests };
+            arrivals.push(self.now_us);
+        }
+        let mut calls = 0;
+        for _ in 0..Self::FAN_OUT[service] {
+            calls += 1 + self.call(service + 1, is_repeat)?;
+        }
+        self.random = self.random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        let is_lost = self.is_fault && self.random >> 33 & 0xff < 0x40;
+        (!is_lost).then(|| {
+            self.costs.record_answer(service as u64, calls);
+            calls
+        })
+    }
+}
+
+/// Lost answers at every level of a call chain: a retried request repeats all its calls, which are
+/// retried themselves.
+#[test]
+fn repeats_below_retried_requests_stay_within_bounds() {
+    const REQUESTS_PER_S: u64 = 14;
+    let budget = SharedRetryBudget::new(0, LossyChain::BOUNDS, LossyChain::NODES);
+    let mut chain = LossyChain {
+        now_us: 0,
+        is_fault: false,
+        budgets: vec![budget; LossyChain::FAN_OUT.len()],
+        costs: RetryCosts::new(),
+        random: 1,
+        deep_requests: Vec::new(),
+        deep_repeats: Vec::new(),
+    };
+    for step in 0..40 * REQUESTS_PER_S {
+        chain.now_us = step * S / REQUESTS_PER_S;
+        chain.is_fault = (10 * S..25 * S).contains(&chain.now_us);
+        chain.call(0, false);
+    }
+    let count = |arrivals: &[u64], window: &std::ops::Range<u64>| {
+        arrivals.iter().filter(|arrival| window.contains(arrival)).count() as f64
+    };
+    for start_s in 0..30 {
+        let window = start_s * S..(start_s + 10) * S;
+        // The node's part of the slack counts here, since only one node is simulated.
+        let slack = LossyChain::BOUNDS.slack / LossyChain::NODES as f64;
+        let allowed = LossyChain::BOUNDS.ratio * count(&chain.deep_requests, &window) + slack;
+        let repeats = count(&chain.deep_repeats, &window);
+        assert!(repeats <= allowed, "{repeats} repeats from {start_s} s, {allowed} allowed");
+    }
+}
+
+#[test]
+fn overdrawn_budget_covers_retries_again_after_some_windows() {
+    let bounds = RetryBounds { ratio: 0.2, slack: 60.0, window_s: 10.0 };
+    let mut budget = SharedRetryBudget::new(0, bounds, 12);
+    for _ in 0..50 {
+        budget.charge(0, bounds, 12);
+    }
+    assert!(!budget.withdraw(0, bounds, 12, 1.0));
+    for step in 0..600 {
+        budget.record_request(step * 100 * MS, bounds, 12);
+    }
+    assert!(budget.withdraw(60 * S, bounds, 12, 1.0));
+}
+
 #[test]
 fn retries_earned_before_fault_are_available_during_fault() {
     let bounds = RetryBounds { ratio: 0.2, slack: 60.0, window_s: 10.0 };
