Do not take the refusal of a quarantined call for overload

Cause, found in review: a quarantined call of an upstream is refused as not run, which counted as a call lost for lack of capacity. The throttle of the parent's route would have refused innocent requests, and placement would have avoided the VM that refused. Class: a refusal for one reason read as another. Change: both leave quarantined calls out.

--- a/crates/mesh/src/caller_listener.rs
+++ b/crates/mesh/src/caller_listener.rs
@@ -145,7 +145,10 @@
             let calls = answer.calls.unwrap_or(0).saturating_add(1);
             self.dispatcher.ingress.add_calls(request_id, calls);
         }
-        let is_not_run = result.as_ref().is_err_and(|failure| failure.outcome == Outcome::NotRun);
+        // A quarantined call says nothing about the capacity of the service.
+        let is_not_run = result.as_ref().is_err_and(|failure| {
+            failure.outcome == Outcome::NotRun && failure.reason != Reason::Quarantined
+        });
         let now_us = self.dispatcher.clock.now_us();
         let overload = match is_not_run {
             true => 1.0,
--- a/crates/mesh/src/dispatch.rs
+++ b/crates/mesh/src/dispatch.rs
@@ -260,6 +260,7 @@
             PlacementResult::Leaving
         }
         (Reason::DeadlineExceeded, _) => PlacementResult::Failed,
+        (Reason::Quarantined, _) => PlacementResult::Succeeded,
         (_, Some(_)) if failure.outcome == Outcome::NotRun => PlacementResult::Refused,
         (_, Some(_)) => PlacementResult::Failed,
         (_, None) => PlacementResult::Unreachable,
