--- a/crates/mesh/src/body.rs
+++ b/crates/mesh/src/body.rs
@@ -191,7 +191,7 @@
     /// Records that the connection broke before the end of the body.
     fn finish_broken(self) {
         if let StreamGuard::Upstream { run, .. } = self {
-            run.finish_broken_in_background();
+            drop(run.finish_broken());
         }
     }
 }
--- a/crates/mesh/src/crash_monitor.rs
+++ b/crates/mesh/src/crash_monitor.rs
@@ -9,6 +9,7 @@
 use policy::run_table::{Run, RunId, RunTable};
 use slog::{Logger, info, warn};
 use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
 
 use crate::connection_pool::ConnectionPool;
 use crate::metrics::Metrics;
@@ -123,7 +124,7 @@
     /// Records the requests of a crashed process and reports them to the other nodes.
     async fn record_crash(&self, upstream: &ServingUpstream) {
         let process = self.process_id(upstream);
-        self.deps.upstream_state.mark_unreachable(&upstream.instance_id);
+        self.deps.upstream_state.mark_unreachable(upstream);
         let crashed = self.runs().take_crashed(self.deps.clock.now_us(), &process);
         self.deps.metrics.upstream_crashes.inc();
         warn!(self.deps.log, "upstream-crashed"; "instance" => &*upstream.instance_id,
@@ -191,15 +192,13 @@
         self.monitor.runs().finish(self.id);
     }
 
-    /// Checks whether the upstream crashed after the connection of the run broke.
-    pub(crate) async fn finish_broken(self) {
-        self.monitor.check(&self.upstream).await;
-        self.monitor.runs().finish(self.id);
-    }
-
-    /// Does the same as [`RunGuard::finish_broken`] in the background.
-    pub(crate) fn finish_broken_in_background(self) {
-        tokio::spawn(self.finish_broken());
+    /// Checks whether the upstream crashed after the connection of the run broke. The check
+    /// continues if the returned handle is dropped.
+    pub(crate) fn finish_broken(self) -> JoinHandle<()> {
+        tokio::spawn(async move {
+            self.monitor.check(&self.upstream).await;
+            self.monitor.runs().finish(self.id);
+        })
     }
 }
 
--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -185,14 +185,9 @@
     pub(crate) fn record_report(&self, report: UpstreamReport) {
         let id = report.instance_id.clone();
         let (address, sequence) = (report.address, report.sequence);
-        let previous = self.upstream_state.last_running();
         let effect = self.upstream_state.record_report(self.clock.now_us(), report);
         if matches!(effect, ReportEffect::NewProcess) {
             self.pool.close_idle(address);
-            if let Some(previous) = previous {
-                let crash_monitor = Arc::clone(&self.crash_monitor);
-                tokio::spawn(async move { crash_monitor.check_unreachable(&previous).await });
-            }
         }
         if matches!(effect, ReportEffect::NewProcess | ReportEffect::Changed) {
             let is_serving = self.upstream_state.serving().is_some();
@@ -383,11 +378,11 @@
                 run.finish_not_run();
                 self.log_unreachable(upstream, "no connection could be established");
                 self.crash_monitor.check_unreachable(upstream).await;
-                self.upstream_state.mark_unreachable(&upstream.instance_id);
+                self.upstream_state.mark_unreachable(upstream);
                 return Err(CallFailure::not_run(Reason::ConnectFailed));
             }
             Err(SendError::Broken) => {
-                run.finish_broken().await;
+                let _ = run.finish_broken().await;
                 return Err(CallFailure::unknown(Reason::ConnectionLost));
             }
         };
@@ -416,7 +411,7 @@
             AnswerClassification::OtherProcess => {
                 run.finish_not_run();
                 self.log_unreachable(upstream, "another process has the address");
-                self.upstream_state.mark_unreachable(&upstream.instance_id);
+                self.upstream_state.mark_unreachable(upstream);
                 Err(CallFailure::not_run(Reason::NoUpstream))
             }
             AnswerClassification::Mismatched => {
@@ -450,7 +445,7 @@
         return Ok(Answer { status: parts.status, headers, body, calls: None });
     }
     let Ok((buffered, is_complete)) = body::read_buffered(&mut incoming).await else {
-        run.finish_broken().await;
+        let _ = run.finish_broken().await;
         return Err(CallFailure::unknown(Reason::TruncatedAnswer));
     };
     let body = if is_complete {
--- a/crates/mesh/src/quarantine_peers.rs
+++ b/crates/mesh/src/quarantine_peers.rs
@@ -47,6 +47,8 @@
 const SYNC_INTERVAL: Duration = Duration::from_secs(2);
 /// Time between two attempts at the first exchange.
 const FIRST_SYNC_INTERVAL: Duration = Duration::from_millis(100);
+/// Maximum number of such attempts.
+const FIRST_SYNC_ATTEMPTS: u32 = 50;
 /// Maximum time for which the answer to a caller is delayed until the other nodes have the news.
 const ANNOUNCE_TIMEOUT: Duration = Duration::from_millis(50);
 /// Timeout of a message.
@@ -107,21 +109,22 @@
     /// Sends news and exchanges records regularly. Never returns.
     pub(crate) async fn run(&self) {
         let mut next_sync = Instant::now() + FIRST_SYNC_INTERVAL;
+        let mut first_attempts_left = FIRST_SYNC_ATTEMPTS;
         let mut offset = 0;
         loop {
             tokio::select! {
-                () = self.news_added.notified() => {}
-                () = tokio::time::sleep_until(next_sync.into()) => {}
-            }
-            while let Some(delay) = self.delay_of_news() {
-                tokio::time::sleep(delay).await;
-                self.send_news().await;
-            }
-            if Instant::now() >= next_sync {
-                let has_synced = self.sync(offset).await;
-                offset = offset.wrapping_add(MAX_SYNC_REPORTS);
-                let interval = if has_synced { SYNC_INTERVAL } else { FIRST_SYNC_INTERVAL };
-                next_sync = Instant::now() + interval;
+                () = self.wait_for_news() => self.send_news().await,
+                () = tokio::time::sleep_until(next_sync.into()) => {
+                    let has_synced = self.sync(offset).await;
+                    offset = offset.wrapping_add(MAX_SYNC_REPORTS);
+                    first_attempts_left = match has_synced {
+                        true => 0,
+                        false => first_attempts_left.saturating_sub(1),
+                    };
+                    let is_first = first_attempts_left > 0;
+                    let interval = if is_first { FIRST_SYNC_INTERVAL } else { SYNC_INTERVAL };
+                    next_sync = Instant::now() + interval;
+                }
             }
         }
     }
@@ -150,6 +153,17 @@
         response
     }
 
+    /// Waits until news may be sent.
+    async fn wait_for_news(&self) {
+        loop {
+            match self.delay_of_news() {
+                Some(Duration::ZERO) => return,
+                Some(delay) => tokio::time::sleep(delay).await,
+                None => self.news_added.notified().await,
+            }
+        }
+    }
+
     /// Returns the time until the next message of news, or `None` if there is none to send.
     fn delay_of_news(&self) -> Option<Duration> {
         let news = self.news();
--- a/crates/mesh/src/upstream.rs
+++ b/crates/mesh/src/upstream.rs
@@ -40,6 +40,8 @@
     /// End of the warm-up time of the process, in microseconds.
     cold_until_us: u64,
     incarnation: u64,
+    /// Incarnation of the previous process if it was stopping when this one reported first.
+    stopped_predecessor: Option<u64>,
 }
 
 impl KnownProcess {
@@ -115,12 +117,6 @@
         known.as_ref().filter(|known| known.phase == Phase::Serving).map(KnownProcess::to_upstream)
     }
 
-    /// Returns the last known process unless it was about to stop.
-    pub(crate) fn last_running(&self) -> Option<ServingUpstream> {
-        let known = self.lock();
-        known.as_ref().filter(|known| !known.is_stopping()).map(KnownProcess::to_upstream)
-    }
-
     /// Returns whether another process has reported since `upstream` was known.
     pub(crate) fn is_replaced(&self, upstream: &ServingUpstream) -> bool {
         let known = self.lock();
@@ -130,9 +126,10 @@
     /// Returns whether `upstream` has reported that it is about to stop.
     pub(crate) fn is_planned_stop(&self, upstream: &ServingUpstream) -> bool {
         let known = self.lock();
-        known
-            .as_ref()
-            .is_some_and(|known| known.incarnation == upstream.incarnation && known.is_stopping())
+        known.as_ref().is_some_and(|known| match known.incarnation == upstream.incarnation {
+            true => known.is_stopping(),
+            false => known.stopped_predecessor == Some(upstream.incarnation),
+        })
     }
 
     /// Returns the service of the last known process.
@@ -187,7 +184,13 @@
         };
         let cold_until_us = now_us + report.cold_remaining.as_micros() as u64;
         let incarnation = incarnation(&report);
-        *known = Some(KnownProcess { report, phase, cold_until_us, incarnation });
+        let stopped_predecessor = match known.as_ref() {
+            Some(known) if known.incarnation == incarnation => known.stopped_predecessor,
+            Some(known) => known.is_stopping().then_some(known.incarnation),
+            None => None,
+        };
+        *known =
+            Some(KnownProcess { report, phase, cold_until_us, incarnation, stopped_predecessor });
         drop(known);
         if effect != ReportEffect::Unchanged {
             self.notify_changed();
@@ -200,9 +203,12 @@
         self.set_phase(instance_id, |_| Some(Phase::Left))
     }
 
-    /// Records that a process cannot be reached.
-    pub(crate) fn mark_unreachable(&self, instance_id: &str) {
-        self.set_phase(instance_id, |phase| {
+    /// Records that a process cannot be reached, unless another one has reported since.
+    pub(crate) fn mark_unreachable(&self, upstream: &ServingUpstream) {
+        if self.is_replaced(upstream) {
+            return;
+        }
+        self.set_phase(&upstream.instance_id, |phase| {
             (phase == Phase::Serving).then_some(Phase::Unreachable)
         });
     }
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -179,7 +179,7 @@
     /// Ends the suspicion or the quarantine of a request.
     pub fn release(&mut self, now_us: u64, digest: Digest) -> Option<QuarantineChange> {
         let evidence = self.records.get(&digest)?.evidence;
-        let withdrawn = Evidence { round: evidence.round + 1, crashes: 0 };
+        let withdrawn = Evidence { round: evidence.round.saturating_add(1), crashes: 0 };
         (evidence.crashes > 0).then(|| self.set_evidence(now_us, digest, withdrawn)).flatten()
     }
 
@@ -296,7 +296,8 @@
             }
             let is_quarantined = record.evidence.crashes >= limit;
             if is_quarantined {
-                record.evidence = Evidence { round: record.evidence.round + 1, crashes: limit - 1 };
+                record.evidence =
+                    Evidence { round: record.evidence.round.saturating_add(1), crashes: limit - 1 };
                 record.updated_us = now_us;
             }
             is_quarantined
@@ -304,8 +305,12 @@
         self.count_active_records();
     }
 
-    /// Removes the oldest tenth of the records.
+    /// Removes the records without crashes, or else the oldest tenth.
     fn evict_oldest(&mut self) {
+        if self.active_records < self.records.len() {
+            self.records.retain(|_, record| record.evidence.crashes > 0);
+            return;
+        }
         let evicted = self.records.drain(..MAX_RECORDS / 10).count();
         self.evicted_records += evicted as u64;
         self.count_active_records();
--- a/crates/policy/src/run_table.rs
+++ b/crates/policy/src/run_table.rs
@@ -15,7 +15,7 @@
 /// closed connection much sooner.
 const ABANDONED_RETENTION_US: u64 = 2 * US_PER_S;
 /// Maximum number of abandoned runs stored.
-const MAX_ABANDONED_RUNS: usize = 256;
+const MAX_ABANDONED_RUNS: usize = 128;
 
 /// Identifier of a run in its table.
 pub type RunId = u64;
--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/quarantine.rs
@@ -171,6 +171,20 @@
     assert_eq!(table.status(10_000), QuarantineStatus::Suspect);
 }
 
+#[test]
+fn full_table_drops_cleared_records_before_suspects() {
+    let mut table = table();
+    for digest in 0..10_001 {
+        table.record_death(S, &process("a1", digest), digest, RunMode::Shared);
+        if digest >= 100 {
+            table.clear(S, digest);
+        }
+    }
+    assert_eq!(table.evicted_records(), 0);
+    assert_eq!(table.len(), 100);
+    assert_eq!(table.status(0), QuarantineStatus::Suspect);
+}
+
 #[test]
 fn page_of_reports_begins_with_quarantined_requests_and_is_bounded() {
     let mut table = table();
