Handle signals from the start of a program

It was still waiting for its disk 8 s after its start, and handlers were installed only once it served. SIGHUP in that time ends a process too.

--- a/crates/daemon/src/program.rs
+++ b/crates/daemon/src/program.rs
@@ -7,6 +7,8 @@
 use slog::{Logger, error};
 use tokio::runtime::Runtime;
 
+use crate::signals;
+
 /// Runs the main task of a program on a runtime with `threads` worker threads. Logs an error of the
 /// task and returns the exit code.
 pub fn run_program<E: Display>(
@@ -44,6 +46,14 @@
             return ExitCode::FAILURE;
         }
     };
+    let installed = {
+        let _context = runtime.enter();
+        signals::install_handlers()
+    };
+    if let Err(error) = installed {
+        error!(log, "signal-handlers-failed"; "error" => %error);
+        return ExitCode::FAILURE;
+    }
     match runtime.block_on(main_task) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- a/crates/daemon/src/signals.rs
+++ b/crates/daemon/src/signals.rs
@@ -1,20 +1,56 @@
 //! Unix signals that request a program to stop or to reload its settings.
 
 use std::io;
+use std::sync::{Mutex, PoisonError};
 
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
-/// Waits for SIGTERM or SIGINT.
+/// Signal streams that were installed when the program started.
+static EARLY_STOP_SIGNALS: Mutex<Option<StopSignals>> = Mutex::new(None);
+
+/// Streams of SIGTERM and SIGINT.
+struct StopSignals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl StopSignals {
+    fn new() -> io::Result<Self> {
+        let terminate = signal(SignalKind::terminate())?;
+        Ok(Self { terminate, interrupt: signal(SignalKind::interrupt())? })
+    }
+}
+
+/// Installs the handlers of all signals that the program handles, on the current runtime.
+///
+/// A signal that arrives while the program still starts would end it otherwise. A stop request is
+/// kept for [`stop_requested`].
+///
+/// # Errors
+///
+/// Returns an error if a signal handler cannot be installed.
+pub(crate) fn install_handlers() -> io::Result<()> {
+    let stop_signals = StopSignals::new()?;
+    // The handler stays installed; a reload during the start has no effect.
+    let _ = signal(SignalKind::hangup())?;
+    *EARLY_STOP_SIGNALS.lock().unwrap_or_else(PoisonError::into_inner) = Some(stop_signals);
+    Ok(())
+}
+
+/// Waits for SIGTERM or SIGINT, also if it was sent since the program started.
 ///
 /// # Errors
 ///
 /// Returns an error if the signal handlers cannot be installed.
 pub async fn stop_requested() -> io::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
+    let early = EARLY_STOP_SIGNALS.lock().unwrap_or_else(PoisonError::into_inner).take();
+    let mut signals = match early {
+        Some(signals) => signals,
+        None => StopSignals::new()?,
+    };
     tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+        _ = signals.terminate.recv() => {}
+        _ = signals.interrupt.recv() => {}
     }
     Ok(())
 }
