Keep the regular exchange of evidence within a kilobyte

A full exchange of 256 reports every 2 s is 9 KB each way, beyond the 2 KB/s that a node may spend for control at the size to design for. 32 reports are 0.9 KB; only a node that has none, such as one that has just started, gets 256. An empty message is answered like any other.

--- a/crates/mesh/src/quarantine_peers.rs
+++ b/crates/mesh/src/quarantine_peers.rs
@@ -21,7 +21,7 @@
 use crate::body::{self, AnswerBody, CallBody};
 use crate::connection_pool::{ConnectionPool, ReusePolicy};
 use crate::endpoints::EndpointTable;
-use crate::http_listener::InboundBody;
+use crate::http_listener::{self, InboundBody};
 use crate::metrics::Metrics;
 use crate::suspects::Suspects;
 use crate::upstream::UpstreamState;
@@ -37,8 +37,10 @@
 const FANOUT: usize = 8;
 /// Maximum number of reports in a message of news.
 const MAX_NEWS_REPORTS: usize = 64;
-/// Maximum number of reports in one direction of a regular exchange.
-const MAX_SYNC_REPORTS: usize = 256;
+/// Maximum number of reports in one direction of a regular exchange, about 1 KB.
+const MAX_SYNC_REPORTS: usize = 32;
+/// Maximum number of reports for a node that has none, such as one that has just started.
+const MAX_FIRST_SYNC_REPORTS: usize = 256;
 /// Maximum number of digests waiting to be sent. Regular exchanges carry what exceeds it.
 const MAX_PENDING_NEWS: usize = 1_024;
 /// Minimum time between two messages of news.
@@ -135,19 +137,18 @@
         kind: &HeaderValue,
         body: InboundBody,
     ) -> Response<AnswerBody> {
-        let mut response = Response::new(AnswerBody::default());
-        let Some(mut body) = body else { return response };
-        let Ok((bytes, true)) = body::read_buffered(&mut body).await else {
-            *response.status_mut() = StatusCode::BAD_REQUEST;
-            return response;
+        let Some(bytes) = read_message(body).await else {
+            return http_listener::empty_response(StatusCode::BAD_REQUEST);
         };
+        let mut response = http_listener::empty_response(StatusCode::OK);
         let changed = self.merge(&bytes);
         if self.peers().len() > FANOUT {
             self.enqueue(changed);
         }
         if *kind == SYNC {
             let offset = rand::random::<u32>() as usize;
-            let reports = self.deps.suspects.reports(offset, MAX_SYNC_REPORTS);
+            let max = if bytes.is_empty() { MAX_FIRST_SYNC_REPORTS } else { MAX_SYNC_REPORTS };
+            let reports = self.deps.suspects.reports(offset, max);
             *response.body_mut() = AnswerBody::buffered(encode(&reports));
         }
         response
@@ -261,6 +262,13 @@
     tokio::time::timeout(SEND_TIMEOUT, exchange).await.ok().flatten()
 }
 
+/// Reads a message. Returns `None` if it is incomplete or too long.
+async fn read_message(body: InboundBody) -> Option<Bytes> {
+    let Some(mut body) = body else { return Some(Bytes::new()) };
+    let (bytes, is_complete) = body::read_buffered(&mut body).await.ok()?;
+    is_complete.then_some(bytes)
+}
+
 /// Encodes reports as one line each: digest, round, crashes and age in milliseconds.
 fn encode(reports: &[EvidenceReport]) -> Bytes {
     let line = |report: &EvidenceReport| {
@@ -274,7 +282,7 @@
 /// Decodes reports. Ignores lines of another form, which a later version may send.
 fn decode(message: &[u8]) -> Vec<EvidenceReport> {
     let text = String::from_utf8_lossy(message);
-    text.lines().take(MAX_SYNC_REPORTS).filter_map(decode_line).collect()
+    text.lines().take(MAX_FIRST_SYNC_REPORTS).filter_map(decode_line).collect()
 }
 
 fn decode_line(line: &str) -> Option<EvidenceReport> {
