--- a/crates/mesh/src/suspects.rs
+++ b/crates/mesh/src/suspects.rs
@@ -235,7 +235,7 @@
         Ok(RunPermit { run_mode, _probation: pass.probation, _shared: shared, isolation })
     }
 
-    /// Waits for the VMs that run a suspect before this one, or until any record changes. Returns
+    /// Waits for the VMs that run a suspect before this one, or until its status changes. Returns
     /// the time waited.
     async fn wait_for_other_vms(
         &self,
