--- a/crates/control-link/tests/isolation.rs
+++ b/crates/control-link/tests/isolation.rs
@@ -173,6 +173,19 @@
         .await;
 }
 
+/// Between the restart of two replicas and their election no replica has a quorum. The node must not
+/// settle on the one that remains isolated afterwards.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn node_leaves_isolated_replica_once_another_one_has_a_quorum() {
+    let mut control_addresses = Vec::new();
+    for behaviour in [Behaviour::LongIsolated, Behaviour::Recovering, Behaviour::Recovering] {
+        control_addresses.push(start_replica(behaviour).await);
+    }
+    // The others have a quorum after 1 s; the delay is measured from then on.
+    check_version_arrives_within(control_addresses, Duration::from_secs(1) + MAX_CHANGE_DELAY)
+        .await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn node_leaves_replica_that_sends_no_updates() {
     check_version_arrives(Behaviour::Silent).await;
