Report the age of a replica's state to nodes, not that of its contact

Cause: a replica told its nodes when it last heard its leader. Change: Raft::content_age_us is the time since which entries may have been committed that the replica does not hold as committed. Updates carry it in the field of the contact age, so that nodes of older versions act on it too, and the version that the replica has applied. A probe (is_probe) is answered with one update and leaves no record. The replica notifies its nodes at once when its state becomes stale or current, and logs it. Measured: six new rules of raft_rules.rs; the two cases of contact without content could not be expressed before, as there was no such age.

--- a/crates/consensus/src/raft.rs
+++ b/crates/consensus/src/raft.rs
@@ -123,6 +123,11 @@
     heartbeat_due_us: u64,
     /// Time of the last message of a leader, or of the last quorum contact before stepping down.
     leader_contact_us: u64,
+    /// Latest time up to which all entries that a leader had committed are committed here; 0 if
+    /// unknown.
+    content_us: u64,
+    /// Commit index of the leader that this replica has not reached yet, and when it was received.
+    pending_commit: Option<(Index, u64)>,
     /// Snapshot whose chunks are being received.
     incoming_snapshot: Option<Snapshot>,
     /// Complete snapshot that the next [`Ready`] hands out.
@@ -151,6 +156,8 @@
             election_due_us: 0,
             heartbeat_due_us: 0,
             leader_contact_us: 0,
+            content_us: 0,
+            pending_commit: None,
             incoming_snapshot: None,
             installed_snapshot: None,
             messages: Vec::new(),
@@ -232,6 +239,20 @@
         now_us.saturating_sub(contact_us)
     }
 
+    /// Returns the age of the committed state, in microseconds: the time since which entries may have
+    /// been committed that this replica does not hold as committed. Unlike
+    /// [`Raft::contact_age_us`], it grows while the replica hears its leader and cannot keep up.
+    ///
+    /// A leader that has lost its quorum is noticed after its election timeout, so that the age may
+    /// be too low by as much.
+    pub fn content_age_us(&self, now_us: u64) -> u64 {
+        let content_us = match self.is_leader_with_current_term_commit() {
+            true => self.quorum_contact_us(now_us),
+            false => self.content_us,
+        };
+        now_us.saturating_sub(content_us)
+    }
+
     /// Processes the timers that have expired by `now_us`.
     pub fn tick(&mut self, now_us: u64) {
         match self.role {
@@ -304,6 +325,7 @@
             Message::Append { term, prev_index, prev_term, entries, commit_index } => {
                 if self.accept_leader(now_us, from, term) {
                     self.handle_append(from, prev_index, prev_term, entries, commit_index);
+                    self.record_leader_commit(now_us, commit_index);
                 }
             }
             Message::AppendReply { term, is_match, index } => {
@@ -497,6 +519,10 @@
     }
 
     fn become_follower(&mut self, now_us: u64, term: Term, leader: Option<ReplicaId>) {
+        if self.is_leader_with_current_term_commit() {
+            self.content_us = self.quorum_contact_us(now_us);
+        }
+        self.pending_commit = None;
         if term > self.hard_state.term {
             self.hard_state = HardState { term, voted_for: None };
         }
@@ -611,6 +637,22 @@
         self.send(from, Message::AppendReply { term, is_match: true, index });
     }
 
+    /// Updates the time of the committed state from the commit index of the leader.
+    ///
+    /// A leader does not know all committed entries before it has committed one of its own term.
+    fn record_leader_commit(&mut self, now_us: u64, leader_commit: Index) {
+        let (target, received_us) = *self.pending_commit.get_or_insert((leader_commit, now_us));
+        if self.commit_index < target {
+            return;
+        }
+        self.pending_commit = None;
+        if self.log.term_at(self.commit_index) != Some(self.hard_state.term) {
+            return;
+        }
+        let is_complete = self.commit_index >= leader_commit;
+        self.content_us = if is_complete { now_us } else { self.content_us.max(received_us) };
+    }
+
     fn handle_append_reply(&mut self, now_us: u64, from: ReplicaId, is_match: bool, index: Index) {
         let last_index = self.log.last_index();
         let Some(progress) = self.progress.get_mut(&from) else {
--- a/crates/consensus/tests/raft_rules.rs
+++ b/crates/consensus/tests/raft_rules.rs
@@ -144,3 +144,78 @@
     assert_eq!(raft.role(), Role::Follower);
     assert!(raft.take_ready().messages.is_empty());
 }
+
+const LEADER: ReplicaId = ReplicaId(2);
+/// Interval between the messages of the leader in the tests of the content age.
+const STEP_US: u64 = 1_000_000;
+
+fn append(term: Term, prev: (Term, u64), entries: Vec<Entry>, commit_index: u64) -> Message {
+    let (prev_term, prev_index) = prev;
+    Message::Append { term, prev_index, prev_term, entries, commit_index }
+}
+
+#[test]
+fn follower_that_holds_the_commits_of_its_leader_is_current() {
+    let mut raft = replica_with_entries(1, Vec::new());
+    assert!(raft.content_age_us(NOW_US) >= NOW_US, "no leader yet");
+    raft.step(NOW_US, LEADER, append(1, (0, 0), vec![entry(1, 1)], 1));
+    assert_eq!(raft.content_age_us(NOW_US + 5), 5);
+}
+
+/// Contact with a leader does not show that the replica holds what the leader has committed.
+#[test]
+fn follower_that_hears_its_leader_and_lacks_its_commits_is_stale() {
+    let mut raft = replica_with_entries(1, Vec::new());
+    raft.step(NOW_US, LEADER, append(1, (0, 0), vec![entry(1, 1)], 1));
+    let now_us = NOW_US + STEP_US;
+    // The entries up to 7 were lost, for example because no reply reaches the leader.
+    raft.step(now_us, LEADER, append(1, (1, 7), Vec::new(), 7));
+    assert_eq!(raft.contact_age_us(now_us), 0);
+    assert_eq!(raft.content_age_us(now_us), STEP_US);
+}
+
+#[test]
+fn follower_that_receives_a_snapshot_is_stale() {
+    let mut raft = replica_with_entries(1, Vec::new());
+    let chunk = Message::SnapshotChunk {
+        term: 1,
+        index: 9,
+        index_term: 1,
+        membership: membership(),
+        offset_bytes: 0,
+        data: vec![1],
+        is_last: false,
+    };
+    raft.step(NOW_US, LEADER, chunk);
+    assert_eq!(raft.contact_age_us(NOW_US), 0);
+    assert!(raft.content_age_us(NOW_US) >= NOW_US);
+}
+
+/// A leader learns what earlier terms have committed only by a commit of its own term.
+#[test]
+fn follower_of_a_leader_without_a_commit_of_its_term_is_stale() {
+    let mut raft = replica_with_entries(1, vec![entry(1, 1)]);
+    raft.step(NOW_US, LEADER, append(2, (1, 1), vec![entry(2, 2)], 1));
+    assert!(raft.content_age_us(NOW_US) >= NOW_US);
+    raft.step(NOW_US + STEP_US, LEADER, append(2, (2, 2), Vec::new(), 2));
+    assert_eq!(raft.content_age_us(NOW_US + STEP_US), 0);
+}
+
+#[test]
+fn follower_that_catches_up_slowly_is_current_up_to_the_commits_it_has_reached() {
+    let mut raft = replica_with_entries(1, Vec::new());
+    raft.step(NOW_US, LEADER, append(1, (0, 0), vec![entry(1, 1)], 3));
+    let now_us = NOW_US + STEP_US;
+    raft.step(now_us, LEADER, append(1, (1, 1), vec![entry(1, 2), entry(1, 3)], 8));
+    assert_eq!(raft.content_age_us(now_us), STEP_US);
+}
+
+#[test]
+fn new_leader_is_stale_until_it_commits_an_entry_of_its_term() {
+    let mut raft = elected_leader(1, vec![entry(1, 1)]);
+    let now_us = NOW_US + 3 * ELECTION_TIMEOUT_US;
+    assert!(raft.content_age_us(now_us) >= now_us);
+    let last_index = raft.last_index();
+    sync_and_acknowledge(&mut raft, 2, last_index);
+    assert_eq!(raft.content_age_us(now_us), 0);
+}
--- a/crates/control-link/src/lib.rs
+++ b/crates/control-link/src/lib.rs
@@ -35,12 +35,6 @@
 /// Time without an update after which a stream counts as lost; a replica sends updates twice a
 /// second.
 const UPDATE_TIMEOUT: Duration = Duration::from_millis(1_200);
-/// Maximum age of the last contact of a replica with its quorum. Above it, the replica counts as
-/// isolated and the node prefers another one. The limit is above an election timeout (600 ms), and
-/// low enough that a node attached to an isolated replica receives a change from another one within
-/// the 2 s in which changes come into force.
-const MAX_CONTACT_AGE_MS: u64 = 900;
-
 /// Interface between the link and its node.
 pub trait AttachedNode {
     /// Returns the addresses of the replicas, in the order to try them. Must not be empty.
@@ -150,7 +144,7 @@
                         return StreamEnd::Lost;
                     };
                     update_deadline = Instant::now() + UPDATE_TIMEOUT;
-                    let is_isolated = update.contact_age_ms > MAX_CONTACT_AGE_MS;
+                    let is_isolated = update.content_age_ms > rpc::MAX_CONTENT_AGE_MS;
                     if self.node.apply_update(update)
                         && reports.send(self.node.report()).await.is_err()
                     {
--- a/crates/control-link/tests/isolation.rs
+++ b/crates/control-link/tests/isolation.rs
@@ -71,7 +71,7 @@
             let stream_started = Instant::now();
             let starts_isolated =
                 matches!(behaviour, Behaviour::TemporaryQuorum | Behaviour::LongIsolated);
-            let mut contact_age_ms = if starts_isolated { 5_000 } else { 0 };
+            let mut content_age_ms = if starts_isolated { 5_000 } else { 0 };
             if behaviour == Behaviour::Silent {
                 return std::future::pending().await;
             }
@@ -79,7 +79,7 @@
                 let configuration = (behaviour == Behaviour::Healthy)
                     .then(|| PackedConfiguration { version: 9, packed_text: "".into() });
                 let update =
-                    ControlUpdate { contact_age_ms, configuration, ..ControlUpdate::default() };
+                    ControlUpdate { content_age_ms, configuration, ..ControlUpdate::default() };
                 if updates.send(Ok(update)).await.is_err() {
                     return;
                 }
@@ -89,12 +89,12 @@
                     Behaviour::Failing => server_started.elapsed() < Duration::from_secs(1),
                     _ => false,
                 };
-                contact_age_ms += if has_quorum { 0 } else { 500 };
+                content_age_ms += if has_quorum { 0 } else { 500 };
                 if behaviour == Behaviour::TemporaryQuorum
                     && stream_started.elapsed() < Duration::from_secs(2)
                 {
                     let is_first_second = stream_started.elapsed() < Duration::from_secs(1);
-                    contact_age_ms = if is_first_second { 5_000 } else { 0 };
+                    content_age_ms = if is_first_second { 5_000 } else { 0 };
                 }
             }
         });
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -35,6 +35,7 @@
 const COMPACTION_LOG_BYTES: u64 = 8 * 1024 * 1024;
 /// Number of committed entries after the snapshot at which the log is compacted.
 const COMPACTION_LOG_ENTRIES: Index = 20_000;
+const MICROS_PER_MILLI: u64 = 1_000;
 
 quick_error! {
     /// Failure of a proposal.
@@ -96,6 +97,7 @@
     view: Arc<ArcSwap<View>>,
     profile_revision: watch::Receiver<u64>,
     configuration_version: watch::Receiver<u64>,
+    is_current: watch::Receiver<bool>,
 }
 
 impl ReplicaHandle {
@@ -113,6 +115,12 @@
         self.configuration_version.clone()
     }
 
+    /// Returns a receiver that is notified when the state of the replica becomes stale or current.
+    /// A control thread that waits for its disk does not notify.
+    pub(crate) fn is_current(&self) -> watch::Receiver<bool> {
+        self.is_current.clone()
+    }
+
     /// Sends an input to the control thread. If the thread has stopped the input is dropped, and
     /// with it the reply channel that it may hold.
     pub(crate) fn input(&self, input: Input) {
@@ -143,6 +151,7 @@
     let (profile_revision_sender, profile_revision) = watch::channel(state.profiles().revision());
     let (configuration_version_sender, configuration_version) =
         watch::channel(state.configurations().version());
+    let (is_current_sender, is_current) = watch::channel(false);
     let view = Arc::new(ArcSwap::from_pointee(build_view(&raft, &state, clock.now_us())));
     let replica = Replica {
         log,
@@ -156,10 +165,12 @@
         view: Arc::clone(&view),
         profile_revision_sender,
         configuration_version_sender,
+        is_current_sender,
     };
     let thread = thread::Builder::new().name("control".to_owned());
     let thread = thread.spawn(move || replica.run(&receiver))?;
-    let handle = ReplicaHandle { inputs, view, profile_revision, configuration_version };
+    let handle =
+        ReplicaHandle { inputs, view, profile_revision, configuration_version, is_current };
     Ok((handle, thread))
 }
 
@@ -192,6 +203,7 @@
     view: Arc<ArcSwap<View>>,
     profile_revision_sender: watch::Sender<u64>,
     configuration_version_sender: watch::Sender<u64>,
+    is_current_sender: watch::Sender<bool>,
 }
 
 impl<O: Outbox> Replica<O> {
@@ -460,16 +472,31 @@
             &self.configuration_version_sender,
             self.state.configurations().version(),
         );
+        self.notify_staleness(now_us);
+    }
+
+    /// Notifies the receivers, and logs it, if the state has become stale or current.
+    fn notify_staleness(&self, now_us: u64) {
+        let contact_age_ms = self.raft.contact_age_us(now_us) / MICROS_PER_MILLI;
+        let content_age_ms = self.raft.content_age_us(now_us) / MICROS_PER_MILLI;
+        let is_current = content_age_ms <= rpc::MAX_CONTENT_AGE_MS;
+        if notify_if_changed(&self.is_current_sender, is_current) {
+            let event = if is_current { "replica-current" } else { "replica-stale" };
+            info!(self.log, "{}", event; "content_age_ms" => content_age_ms,
+                "contact_age_ms" => contact_age_ms, "role" => ?self.raft.role(),
+                "term" => self.raft.term(), "commit_index" => self.raft.commit_index(),
+                "configuration_version" => self.state.configurations().version());
+        }
     }
 }
 
-/// Notifies the receivers if the value has changed.
-fn notify_if_changed(sender: &watch::Sender<u64>, value: u64) {
+/// Notifies the receivers if the value has changed. Returns whether it has.
+fn notify_if_changed<T: PartialEq>(sender: &watch::Sender<T>, value: T) -> bool {
     sender.send_if_modified(|known| {
         let is_changed = *known != value;
         *known = value;
         is_changed
-    });
+    })
 }
 
 fn build_view(raft: &Raft, state: &State, now_us: u64) -> View {
@@ -484,6 +511,7 @@
         last_index: raft.last_index(),
         snapshot_index: raft.snapshot_index(),
         quorum_contact_us: now_us.saturating_sub(raft.contact_age_us(now_us)),
+        content_us: now_us.saturating_sub(raft.content_age_us(now_us)),
         profiles: Arc::clone(state.profiles()),
         configurations: Arc::clone(state.configurations()),
         claim_count: state.claims().len(),
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -166,6 +166,7 @@
         "last_index": view.last_index,
         "snapshot_index": view.snapshot_index,
         "quorum_contact_age_ms": now_us.saturating_sub(view.quorum_contact_us) / 1_000,
+        "content_age_ms": now_us.saturating_sub(view.content_us) / 1_000,
         "profile_revision": view.profiles.revision(),
         "configuration_version": view.configurations.version(),
         "claims": view.claim_count,
--- a/crates/control/src/service/directory_service.rs
+++ b/crates/control/src/service/directory_service.rs
@@ -17,8 +17,8 @@
 /// Capacity of the update queue of a node, in updates. With a capacity of 1, a node that reads
 /// slowly skips intermediate states.
 const MAX_QUEUED_UPDATES: usize = 1;
-/// Interval at which a node receives the time since the replica's last contact with a quorum.
-const CONTACT_AGE_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval at which a node receives the age of the replica's state.
+const CONTENT_AGE_INTERVAL: Duration = Duration::from_millis(500);
 
 pub(super) struct DirectoryService {
     context: ServiceContext,
@@ -46,6 +46,12 @@
             return Err(Status::failed_precondition("unsupported protocol version"));
         }
         let (updates, receiver) = mpsc::channel(MAX_QUEUED_UPDATES);
+        if first.is_probe {
+            let update = update_with_state(&self.context, ControlUpdate::default());
+            // The queue is empty, so the update fits.
+            let _ = updates.try_send(Ok(update));
+            return Ok(Response::new(ReceiverStream::new(receiver)));
+        }
         let log = self.context.log.new(o!("vm" => first.vm.clone()));
         info!(log, "node-attached"; "data_centre" => first.data_centre.clone());
         let stream = NodeStream {
@@ -89,8 +95,9 @@
         let mut directory_revision = self.context.directory_revision.subscribe();
         let mut profile_revision = self.context.replica.profile_revision();
         let mut configuration_version = self.context.replica.configuration_version();
+        let mut is_current = self.context.replica.is_current();
         let mut stop = self.context.stop.clone();
-        let mut contact_age_ticks = tokio::time::interval(CONTACT_AGE_INTERVAL);
+        let mut content_age_ticks = tokio::time::interval(CONTENT_AGE_INTERVAL);
         self.record_report();
         loop {
             let may_have_changes = tokio::select! {
@@ -107,7 +114,11 @@
                 _ = directory_revision.changed() => true,
                 _ = profile_revision.changed() => true,
                 _ = configuration_version.changed() => true,
-                _ = contact_age_ticks.tick() => {
+                _ = is_current.changed() => {
+                    self.send(&updates, ControlUpdate::default()).await?;
+                    false
+                }
+                _ = content_age_ticks.tick() => {
                     self.send(&updates, ControlUpdate::default()).await?;
                     false
                 }
@@ -197,24 +208,30 @@
         Some(packed)
     }
 
-    /// Sends an update with the current contact age and replica addresses.
+    /// Sends an update with the state of the replica.
     async fn send(
         &self,
         updates: &mpsc::Sender<Result<ControlUpdate, Status>>,
         update: ControlUpdate,
     ) -> Result<(), StreamClosed> {
-        let view = self.context.replica.view();
-        let age_us = self.context.clock.now_us().saturating_sub(view.quorum_contact_us);
-        let members = view.membership.members.values();
-        let update = ControlUpdate {
-            contact_age_ms: age_us / 1_000,
-            replica_addresses: members.map(|member| member.address.clone()).collect(),
-            ..update
-        };
+        let update = update_with_state(&self.context, update);
         updates.send(Ok(update)).await.map_err(|_| StreamClosed)
     }
 }
 
+/// Returns an update with the age and version of the replica's state and the replica addresses.
+fn update_with_state(context: &ServiceContext, update: ControlUpdate) -> ControlUpdate {
+    let view = context.replica.view();
+    let age_us = context.clock.now_us().saturating_sub(view.content_us);
+    let members = view.membership.members.values();
+    ControlUpdate {
+        content_age_ms: age_us / 1_000,
+        replica_configuration_version: view.configurations.version(),
+        replica_addresses: members.map(|member| member.address.clone()).collect(),
+        ..update
+    }
+}
+
 /// Returns the profiles that changed after a revision.
 pub(super) fn profile_set(table: &ProfileTable, after_revision: u64) -> ProfileSet {
     let changed = table.current().filter(|(_, version)| version.revision > after_revision);
--- a/crates/control/src/view.rs
+++ b/crates/control/src/view.rs
@@ -30,6 +30,9 @@
     pub snapshot_index: Index,
     /// Time of the last contact with a quorum, in microseconds on the process clock.
     pub quorum_contact_us: u64,
+    /// Time up to which the committed state is known to be complete, in microseconds on the process
+    /// clock.
+    pub content_us: u64,
     /// Table of profiles.
     pub profiles: Arc<ProfileTable>,
     /// Current configuration of routes and the digests of the accepted changes.
--- a/crates/mesh/src/attachment.rs
+++ b/crates/mesh/src/attachment.rs
@@ -185,6 +185,7 @@
             endpoint,
             called_services: self.called_services(),
             configuration_version: self.parts.configuration.version(),
+            is_probe: false,
         }
     }
 }
--- a/crates/node/src/control_link.rs
+++ b/crates/node/src/control_link.rs
@@ -99,6 +99,7 @@
             endpoint,
             called_services,
             configuration_version: 0,
+            is_probe: false,
         }
     }
 }
--- a/crates/rpc/src/generated.rs
+++ b/crates/rpc/src/generated.rs
@@ -200,11 +200,16 @@
     /// Version of the configuration in force at the node; zero if there is none.
     #[prost(uint64, tag = "8")]
     pub configuration_version: u64,
+    /// Whether the node only asks how old the replica's state is. The replica answers with one update
+    /// and does not record the node. Older replicas ignore the field and attach the node.
+    #[prost(bool, tag = "9")]
+    pub is_probe: bool,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct ControlUpdate {
+    /// Time since which changes may have been accepted that this replica does not have.
     #[prost(uint64, tag = "1")]
-    pub contact_age_ms: u64,
+    pub content_age_ms: u64,
     #[prost(message, optional, tag = "2")]
     pub profiles: ::core::option::Option<ProfileSet>,
     #[prost(message, repeated, tag = "3")]
@@ -220,6 +225,10 @@
     /// Addresses of the replicas for connections from nodes and replicas, sent with each update.
     #[prost(string, repeated, tag = "7")]
     pub replica_addresses: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Version of the configuration that the replica has applied; zero if there is none, or if the
+    /// replica is of an older version.
+    #[prost(uint64, tag = "9")]
+    pub replica_configuration_version: u64,
 }
 /// The newest accepted configuration.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
