Spread the nodes of a lost control replica over all others

At 980 nodes and 7 replicas that is 140 attaches at one replica. Cause: every node went through the replicas in the same order, only the start differed. Change: each node sorts the replicas by a hash of its VM and the address. Measured: policy/tests/control_order.rs, 980 nodes and 7 replicas: nodes of a lost replica go to all six others, none gets twice the mean.

--- a/crates/control-link/src/lib.rs
+++ b/crates/control-link/src/lib.rs
@@ -54,10 +54,6 @@
 pub trait AttachedNode {
     /// Returns the addresses of the replicas, in the order to try them. Must not be empty.
     fn control_addresses(&self) -> Vec<SocketAddr>;
-    /// Returns the index of the first replica to try, modulo the number of replicas.
-    fn first_control_index(&self) -> usize {
-        0
-    }
     /// Returns a report of the current state of the node.
     fn report(&mut self) -> NodeReport;
     /// Applies an update. Returns whether a version in the report changed, so that the link sends a
@@ -117,9 +113,7 @@
 
     /// Attaches to one replica after another, in the order of the addresses.
     async fn reconnect_loop(mut self) {
-        // Nodes start at different replicas, which spreads the load and limits the number of nodes
-        // that an isolated replica affects.
-        let mut index = self.node.first_control_index();
+        let mut index = 0;
         loop {
             let addresses = self.node.control_addresses();
             let mut address = addresses[index % addresses.len()];
@@ -238,8 +232,7 @@
         }
     }
 
-    /// Returns a search that begins with the replica after `address`, as every node does after its
-    /// own one.
+    /// Returns a search that begins with the replica that follows `address`.
     fn start_search(&self, address: SocketAddr, start: Instant) -> ReplicaSearch {
         let addresses = self.node.control_addresses();
         let position = addresses.iter().position(|known| *known == address);
--- a/crates/mesh/src/attachment.rs
+++ b/crates/mesh/src/attachment.rs
@@ -1,6 +1,5 @@
 //! Reports from the node to control, and updates of configuration and endpoints from control.
 
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -9,6 +8,7 @@
 use daemon::Clock;
 use indexmap::IndexSet;
 use model::ServiceName;
+use policy::control_order::sort_replicas;
 use rpc::{ControlUpdate, NodeReport};
 use slog::{Logger, error, warn};
 
@@ -113,13 +113,9 @@
             self.parts.control_addresses.lock().unwrap_or_else(PoisonError::into_inner).clone();
         let replicas: IndexSet<_> =
             configured.into_iter().chain(self.discovered_controls.clone()).collect();
-        replicas.into_iter().collect()
-    }
-
-    fn first_control_index(&self) -> usize {
-        let mut hasher = DefaultHasher::new();
-        self.parts.settings.vm.name.hash(&mut hasher);
-        hasher.finish() as usize
+        let mut replicas: Vec<_> = replicas.into_iter().collect();
+        sort_replicas(&self.parts.settings.vm.name, &mut replicas);
+        replicas
     }
 
     fn apply_update(&mut self, update: ControlUpdate) -> bool {
