--- a/crates/testbed/src/cluster.rs
+++ b/crates/testbed/src/cluster.rs
@@ -175,6 +175,18 @@
         Ok(cluster)
     }
 
+    /// Starts only the control replicas, with relays on the connections to them.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a process cannot be started.
+    pub fn start_relayed_controls(deployment: Deployment) -> Result<Self, ClusterError> {
+        let mut cluster = Self::new(deployment, None)?;
+        cluster.relays = Some(Relays::new()?);
+        cluster.start_all_controls()?;
+        Ok(cluster)
+    }
+
     /// Starts only the upstreams, which call each other directly, without nodes.
     ///
     /// # Errors
