Log and count the limit that an upstream names

Change: the adapter reads Server-Limit; a node logs upstream-limit with the previous value and the request, ignores and counts values that aren't one finite number of at least zero, and exports upstream_limit_per_s. Nothing acts on it yet.

--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -22,7 +22,7 @@
 use crate::failure::CallFailure;
 use crate::metrics::Metrics;
 use crate::protocol_adapter::{
-    AnswerClassification, DispatchMetadata, ProtocolAdapter, UpstreamReport,
+    Announcement, AnswerClassification, DispatchMetadata, ProtocolAdapter, UpstreamReport,
 };
 use crate::request_key::{RequestKey, digest_text};
 use crate::request_log::RequestLog;
@@ -35,6 +35,9 @@
 /// cold upstream takes about twice as long per call, so half of the calls keep it equally busy.
 const COLD_LIMIT_DIVISOR: u32 = 2;
 
+/// Value of the metric for the announced rate while there is none.
+const NO_LIMIT_PER_S: f64 = -1.0;
+
 /// Response of an upstream, with a buffered body or one that is still streaming.
 pub(crate) struct Answer {
     pub(crate) status: StatusCode,
@@ -391,6 +394,9 @@
             response.headers(),
             head.request_id.as_ref(),
         );
+        if classification.is_from_addressee() {
+            self.record_announcements(head, upstream, response.headers());
+        }
         match classification {
             AnswerClassification::Answer => {
                 let answer = read_answer(response, connection, permit, run).await?;
@@ -422,6 +428,40 @@
         }
     }
 
+    /// Records what the upstream announced with an answer.
+    fn record_announcements(
+        &self,
+        head: &CallHead,
+        upstream: &ServingUpstream,
+        headers: &HeaderMap,
+    ) {
+        let announcements = self.adapter.read_announcements(headers);
+        match announcements.limit_per_s {
+            Announcement::Absent => self.record_limit(head, upstream, None),
+            Announcement::Value(limit_per_s) => {
+                self.record_limit(head, upstream, Some(limit_per_s));
+            }
+            Announcement::Unreadable => {
+                self.metrics.announcements_ignored.inc();
+                if let Some(log) = self.request_log.rate_limited_logger(&self.metrics) {
+                    warn!(log, "upstream-limit-ignored"; "request" => head.id_text(),
+                        "instance" => &*upstream.instance_id);
+                }
+            }
+        }
+    }
+
+    fn record_limit(&self, head: &CallHead, upstream: &ServingUpstream, limit_per_s: Option<f64>) {
+        let Some(change) = self.upstream_state.record_limit(upstream, limit_per_s) else { return };
+        self.metrics.upstream_limit_per_s.set(limit_per_s.unwrap_or(NO_LIMIT_PER_S));
+        // A rate that changes with every answer would otherwise log a line for each.
+        if let Some(log) = self.request_log.rate_limited_logger(&self.metrics) {
+            info!(log, "upstream-limit"; "instance" => &*upstream.instance_id,
+                "limit_per_s" => limit_per_s, "previous_per_s" => change.previous_per_s,
+                "request" => head.id_text());
+        }
+    }
+
     fn log_unreachable(&self, upstream: &ServingUpstream, detail: &'static str) {
         warn!(self.log, "upstream-unreachable"; "instance" => &*upstream.instance_id,
             "address" => %upstream.address, "detail" => detail);
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -39,8 +39,9 @@
 pub use crate::{
     metrics::metric_names,
     protocol_adapter::{
-        AnswerClassification, DispatchMetadata, DocumentError, InstanceId, ProtocolAdapter,
-        RequestMetadata, UpstreamNotification, UpstreamPhase, UpstreamReport,
+        Announcement, AnswerAnnouncements, AnswerClassification, DispatchMetadata, DocumentError,
+        InstanceId, ProtocolAdapter, RequestMetadata, UpstreamNotification, UpstreamPhase,
+        UpstreamReport,
     },
     server::{MetricsError, ServerError, run},
     settings::{MeshSettings, SettingsSource},
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -1,6 +1,8 @@
 //! Prometheus metrics of a node.
 
-use prometheus::{Encoder, Histogram, HistogramOpts, IntCounter, IntGauge, Registry, TextEncoder};
+use prometheus::{
+    Encoder, Gauge, Histogram, HistogramOpts, IntCounter, IntGauge, Registry, TextEncoder,
+};
 
 use crate::server::MetricsError;
 
@@ -48,6 +50,8 @@
     pub(crate) control_lost: IntCounter,
     pub(crate) control_content_age_ms: IntGauge,
     pub(crate) configuration_version: IntGauge,
+    pub(crate) upstream_limit_per_s: Gauge,
+    pub(crate) announcements_ignored: IntCounter,
     pub(crate) latency: Histogram,
 }
 
@@ -69,6 +73,12 @@
             registry.register(Box::new(gauge.clone()))?;
             Ok(gauge)
         };
+        let upstream_limit_per_s = Gauge::new(
+            format!("{PREFIX}upstream_limit_per_s"),
+            "Requests per second that the upstream takes, -1 without a limit",
+        )?;
+        upstream_limit_per_s.set(-1.0);
+        registry.register(Box::new(upstream_limit_per_s.clone()))?;
         let latency = Histogram::with_opts(
             HistogramOpts::new(format!("{PREFIX}latency_seconds"), "Time to a caller's answer")
                 .buckets(LATENCY_BUCKETS_S.to_vec()),
@@ -123,6 +133,11 @@
                 "configuration_version",
                 "Version of the configuration in force",
             )?,
+            upstream_limit_per_s,
+            announcements_ignored: counter(
+                "announcements_ignored_total",
+                "Unreadable announcements in answers of the upstream",
+            )?,
             latency,
             registry,
         })
--- a/crates/mesh/src/protocol_adapter.rs
+++ b/crates/mesh/src/protocol_adapter.rs
@@ -67,6 +67,35 @@
     Mismatched,
 }
 
+impl AnswerClassification {
+    /// Returns whether the response comes from the process that the call was addressed to.
+    pub(crate) fn is_from_addressee(self) -> bool {
+        match self {
+            Self::Answer | Self::AtCapacity | Self::NotRun => true,
+            Self::OtherProcess | Self::Mismatched => false,
+        }
+    }
+}
+
+/// Value that an upstream may announce with an answer.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Announcement<T> {
+    /// The answer announces nothing.
+    Absent,
+    /// The announced value.
+    Value(T),
+    /// The answer carries a value whose meaning is not clear.
+    Unreadable,
+}
+
+/// What an upstream announces about itself with an answer.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct AnswerAnnouncements {
+    /// Maximum rate of requests that the upstream takes from all nodes together, in requests per
+    /// second; finite and not negative. Applies until an answer without it.
+    pub limit_per_s: Announcement<f64>,
+}
+
 /// Lifecycle phase that an upstream reports.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum UpstreamPhase {
@@ -128,6 +157,9 @@
         request_id: Option<&HeaderValue>,
     ) -> AnswerClassification;
 
+    /// Reads what an upstream announces about itself with an answer.
+    fn read_announcements(&self, headers: &HeaderMap) -> AnswerAnnouncements;
+
     /// Sets the header that advises a caller how long to wait before a retry.
     fn write_retry_after(&self, headers: &mut HeaderMap, wait: Duration);
 
--- a/crates/mesh/src/upstream.rs
+++ b/crates/mesh/src/upstream.rs
@@ -42,6 +42,8 @@
     incarnation: u64,
     /// Incarnation of the previous process if it was stopping when this one reported first.
     stopped_predecessor: Option<u64>,
+    /// Rate of requests that the process announced in its last answer, in requests per second.
+    limit_per_s: Option<f64>,
 }
 
 impl KnownProcess {
@@ -89,6 +91,13 @@
     Outdated,
 }
 
+/// Change of the rate that a process announces.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct LimitChange {
+    /// Rate that it announced before, in requests per second; `None` for no limit.
+    pub(crate) previous_per_s: Option<f64>,
+}
+
 /// Shared state of the local upstream.
 #[derive(Debug)]
 pub(crate) struct UpstreamState {
@@ -184,13 +193,23 @@
         };
         let cold_until_us = now_us + report.cold_remaining.as_micros() as u64;
         let incarnation = incarnation(&report);
+        let limit_per_s = known
+            .as_ref()
+            .filter(|known| known.incarnation == incarnation)
+            .and_then(|known| known.limit_per_s);
         let stopped_predecessor = match known.as_ref() {
             Some(known) if known.incarnation == incarnation => known.stopped_predecessor,
             Some(known) => known.is_stopping().then_some(known.incarnation),
             None => None,
         };
-        *known =
-            Some(KnownProcess { report, phase, cold_until_us, incarnation, stopped_predecessor });
+        *known = Some(KnownProcess {
+            report,
+            phase,
+            cold_until_us,
+            incarnation,
+            stopped_predecessor,
+            limit_per_s,
+        });
         drop(known);
         if effect != ReportEffect::Unchanged {
             self.notify_changed();
@@ -198,6 +217,21 @@
         effect
     }
 
+    /// Records the rate that a process announced with an answer, `None` for no limit. Returns the
+    /// previous one if it has changed. Ignores answers of a process that is not the known one.
+    pub(crate) fn record_limit(
+        &self,
+        upstream: &ServingUpstream,
+        limit_per_s: Option<f64>,
+    ) -> Option<LimitChange> {
+        let mut known = self.lock();
+        let process =
+            known.as_mut().filter(|process| process.incarnation == upstream.incarnation)?;
+        let previous_per_s = process.limit_per_s;
+        process.limit_per_s = limit_per_s;
+        (previous_per_s != limit_per_s).then_some(LimitChange { previous_per_s })
+    }
+
     /// Records that a process leaves. Returns whether it is the known process.
     pub(crate) fn record_leave(&self, instance_id: &str) -> bool {
         self.set_phase(instance_id, |_| Some(Phase::Left))
