Keep the limit of requests that an upstream names

Cause: no source acted on the limit. Class: a field of the users' pages that nobody reads. Change: the node beside an instance sees all its requests, so one token bucket there bounds their sum (policy::named_limit). A call needs a token as well as a slot and waits 150 ms for one at most, so that its caller tries another copy, which costs no retry. Less urgent priorities get what more urgent ones are expected to leave, and 15 % at least. The reported limit is what may be sent at once, which keeps nodes of older versions away too. A limit of zero still lets one call through each 4 s, as only an answer can end it. It applies for 1 s after an answer without it, so that one that comes and goes leaves no bursts between. Refusals by a limit are no sign of overload; a caller is told the wait of the copy that has room first. call-refused names the cause; refused_by_limit_total counts it.

--- a/crates/mesh/src/dispatch.rs
+++ b/crates/mesh/src/dispatch.rs
@@ -51,6 +51,8 @@
     /// Number of attempts that may have reached an upstream.
     upstream_attempts: u32,
     may_have_run: bool,
+    /// Shortest expected wait of the VMs that refused the call for lack of room.
+    shortest_wait: Option<Duration>,
     /// Error response of an upstream, kept while another upstream is tried.
     error_answer: Option<Answer>,
 }
@@ -91,6 +93,7 @@
             };
             history.upstream_attempts += u32::from(failure.has_reached_upstream);
             history.may_have_run |= failure.outcome != Outcome::NotRun;
+            history.record_wait(&failure);
             if let Some(log) = self.request_log.rate_limited_logger(&self.metrics) {
                 info!(log, "attempt-failed"; "request" => head.id_text(), "vm" => %chosen.vm,
                     "service" => %head.service, "reason" => failure.reason.as_str(),
@@ -195,13 +198,25 @@
 }
 
 impl AttemptHistory {
+    fn record_wait(&mut self, failure: &CallFailure) {
+        if failure.reason == Reason::Overloaded {
+            let known = self.shortest_wait.unwrap_or(failure.expected_wait);
+            self.shortest_wait = Some(known.min(failure.expected_wait));
+        }
+    }
+
     /// Returns the error response of an upstream if there is one, or else the last failure.
     ///
-    /// The outcome is unknown if any attempt may have run, even if the last one was refused.
+    /// The outcome is unknown if any attempt may have run, even if the last one was refused. The
+    /// expected wait is that of the VM that has room first.
     fn into_result(self, failure: CallFailure) -> Result<Answer, CallFailure> {
         if let Some(answer) = self.error_answer {
             return Ok(answer);
         }
+        let failure = match self.shortest_wait {
+            Some(wait) => failure.with_expected_wait(wait),
+            None => failure,
+        };
         Err(match self.may_have_run {
             true => CallFailure { outcome: Outcome::Unknown, ..failure },
             false => failure,
--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -11,7 +11,7 @@
 use model::{Idempotence, Reason, VmName, headers};
 use policy::overload::NodeOverload;
 use policy::placement::PlacementLoad;
-use policy::slots::{CallPriority, SlotRequest};
+use policy::slots::{CallPriority, RefusalCause, SlotRequest};
 use slog::{Logger, info, warn};
 
 use crate::body::{self, AnswerBody, CallBody, StreamGuard};
@@ -27,7 +27,7 @@
 use crate::request_key::{RequestKey, digest_text};
 use crate::request_log::RequestLog;
 use crate::running_requests::{ParentRequest, RunningRequests};
-use crate::slot_queue::{Permit, SlotQueue};
+use crate::slot_queue::{Permit, Refusal, SlotQueue};
 use crate::suspects::{SuspectCall, SuspectPass, SuspectRefusal, Suspects};
 use crate::upstream::{ReportEffect, ServingUpstream, UpstreamState};
 
@@ -197,6 +197,10 @@
             info!(self.log, "upstream-changed"; "instance" => &*id, "sequence" => sequence,
                 "effect" => ?effect, "is_serving" => is_serving);
             self.slot_queue.set_slots(self.upstream_state.slots());
+            if matches!(effect, ReportEffect::NewProcess) {
+                self.slot_queue.clear_named_limit();
+            }
+            self.upstream_state.apply_limit(|limit_per_s| self.apply_limit(limit_per_s));
         }
         self.refuse_queued_if_not_serving();
     }
@@ -237,11 +241,14 @@
         };
         let offered_us = self.clock.now_us();
         let admitted = self.slot_queue.admit(slot_request).await;
-        self.record_admission(head.priority, offered_us, admitted.is_ok());
-        let permit = admitted.map_err(|wait| {
+        self.record_admission(head.priority, offered_us, admitted.as_ref().err());
+        let permit = admitted.map_err(|refusal| {
             self.metrics.refused.inc();
-            self.log_refusal(&head, wait);
-            CallFailure::not_run(Reason::Overloaded).with_expected_wait(wait)
+            if refusal.cause == RefusalCause::NamedLimit {
+                self.metrics.refused_by_limit.inc();
+            }
+            self.log_refusal(&head, refusal);
+            CallFailure::not_run(Reason::Overloaded).with_expected_wait(refusal.wait)
         })?;
         let run_permit = self.suspects.start(|| key.digest(), pass).await;
         let run_permit = run_permit.map_err(|refusal| self.refuse_suspect(&head, &key, refusal))?;
@@ -306,24 +313,31 @@
         CallFailure::not_run(reason)
     }
 
-    fn log_refusal(&self, head: &CallHead, wait: Duration) {
+    fn log_refusal(&self, head: &CallHead, refusal: Refusal) {
         let Some(log) = self.request_log.rate_limited_logger(&self.metrics) else { return };
         let load = self.slot_queue.load();
         info!(log, "call-refused"; "request" => head.id_text(), "standing" => ?head.priority,
-            "expected_wait_ms" => wait.as_millis() as u64, "in_flight" => load.in_flight,
-            "queued" => load.queued, "limit" => load.limit);
+            "expected_wait_ms" => refusal.wait.as_millis() as u64, "cause" => ?refusal.cause,
+            "in_flight" => load.in_flight, "queued" => load.queued, "limit" => load.limit,
+            "limit_per_s" => self.upstream_state.limit_per_s());
     }
 
     /// Records how long a call of a request in progress waited for a slot, or that it was refused.
-    fn record_admission(&self, priority: CallPriority, offered_us: u64, is_admitted: bool) {
+    ///
+    /// A refusal by a named limit says nothing about the capacity of the service: other upstreams
+    /// may take the call. If none does, the node that made the call records that.
+    fn record_admission(&self, priority: CallPriority, offered_us: u64, refusal: Option<&Refusal>) {
         let now_us = self.clock.now_us();
         let mut overload = self.lock_overload();
-        match (priority, is_admitted) {
-            (CallPriority::InProgress(_), true) => {
+        match (priority, refusal.map(|refusal| refusal.cause)) {
+            (CallPriority::InProgress(_), None) => {
                 overload.record_wait(now_us, now_us - offered_us)
             }
-            (CallPriority::InProgress(_), false) => overload.record_refusal(now_us),
-            (CallPriority::NewRequest(_), _) => {}
+            (CallPriority::InProgress(_), Some(RefusalCause::Slots)) => {
+                overload.record_refusal(now_us);
+            }
+            (CallPriority::InProgress(_), Some(RefusalCause::NamedLimit))
+            | (CallPriority::NewRequest(_), _) => {}
         }
     }
 
@@ -451,9 +465,15 @@
         }
     }
 
-    fn record_limit(&self, head: &CallHead, upstream: &ServingUpstream, limit_per_s: Option<f64>) {
-        let Some(change) = self.upstream_state.record_limit(upstream, limit_per_s) else { return };
+    fn apply_limit(&self, limit_per_s: Option<f64>) {
+        self.slot_queue.set_named_limit(limit_per_s);
         self.metrics.upstream_limit_per_s.set(limit_per_s.unwrap_or(NO_LIMIT_PER_S));
+    }
+
+    fn record_limit(&self, head: &CallHead, upstream: &ServingUpstream, limit_per_s: Option<f64>) {
+        let apply = |limit_per_s| self.apply_limit(limit_per_s);
+        let change = self.upstream_state.record_limit(upstream, limit_per_s, apply);
+        let Some(change) = change else { return };
         // A rate that changes with every answer would otherwise log a line for each.
         if let Some(log) = self.request_log.rate_limited_logger(&self.metrics) {
             info!(log, "upstream-limit"; "instance" => &*upstream.instance_id,
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -52,6 +52,7 @@
     pub(crate) configuration_version: IntGauge,
     pub(crate) upstream_limit_per_s: Gauge,
     pub(crate) announcements_ignored: IntCounter,
+    pub(crate) refused_by_limit: IntCounter,
     pub(crate) latency: Histogram,
 }
 
@@ -134,6 +135,10 @@
                 "Version of the configuration in force",
             )?,
             upstream_limit_per_s,
+            refused_by_limit: counter(
+                "refused_by_limit_total",
+                "Calls refused because of the limit that the upstream named",
+            )?,
             announcements_ignored: counter(
                 "announcements_ignored_total",
                 "Unreadable announcements in answers of the upstream",
--- a/crates/mesh/src/slot_queue.rs
+++ b/crates/mesh/src/slot_queue.rs
@@ -6,15 +6,30 @@
 
 use daemon::Clock;
 use policy::slots::{
-    CallEnd, Decision, Event, RunningCall, SlotAdmission, SlotLoad, SlotRequest, Ticket,
+    CallEnd, Decision, Event, RefusalCause, RunningCall, SlotAdmission, SlotLoad, SlotRequest,
+    Ticket,
 };
 use tokio::sync::{Notify, oneshot};
 
 /// Maximum interval between two checks for expired calls; bounds how late a queued call is refused.
 const MAX_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// The admitted call, or the expected wait for a slot if the call is refused.
-type AdmissionResult = Result<RunningCall, Duration>;
+/// Refusal of a call that could not start in time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Refusal {
+    /// Expected wait until the call could have started.
+    pub(crate) wait: Duration,
+    pub(crate) cause: RefusalCause,
+}
+
+impl Refusal {
+    fn new(wait_us: u64, cause: RefusalCause) -> Self {
+        Self { wait: Duration::from_micros(wait_us), cause }
+    }
+}
+
+/// The admitted call, or its refusal.
+type AdmissionResult = Result<RunningCall, Refusal>;
 
 /// A queued call and the channel that receives its admission result.
 struct Waiter {
@@ -43,10 +58,10 @@
                         events.extend(further_events);
                     }
                 }
-                Event::Refuse { ticket, wait_us } => {
+                Event::Refuse { ticket, wait_us, cause } => {
                     let Some(waiter) = self.waiters.remove(&ticket) else { continue };
                     // Sending fails if the call was cancelled, which needs no result.
-                    let _ = waiter.sender.send(Err(Duration::from_micros(wait_us)));
+                    let _ = waiter.sender.send(Err(Refusal::new(wait_us, cause)));
                 }
             }
         }
@@ -73,6 +88,19 @@
         self.lock().slot_admission.set_announced_slots(slots);
     }
 
+    /// Sets the rate that the upstream names, in calls per second, `None` for no limit.
+    pub(crate) fn set_named_limit(&self, limit_per_s: Option<f64>) {
+        let now_us = self.clock.now_us();
+        let mut state = self.lock();
+        let events = state.slot_admission.set_named_limit(now_us, limit_per_s);
+        state.notify_waiters(now_us, events);
+    }
+
+    /// Removes the rate of a process that has been replaced.
+    pub(crate) fn clear_named_limit(&self) {
+        self.lock().slot_admission.clear_named_limit();
+    }
+
     pub(crate) fn load(&self) -> SlotLoad {
         let now_us = self.clock.now_us();
         self.lock().slot_admission.load(now_us)
@@ -90,8 +118,8 @@
     ///
     /// # Errors
     ///
-    /// Returns the expected wait for a slot if the call is refused.
-    pub(crate) async fn admit(&self, request: SlotRequest) -> Result<Permit, Duration> {
+    /// Returns the refusal if the call cannot start in time.
+    pub(crate) async fn admit(&self, request: SlotRequest) -> Result<Permit, Refusal> {
         let now_us = self.clock.now_us();
         let call = RunningCall { priority: request.priority, kind: request.kind };
         let (ticket, result) = {
@@ -103,7 +131,9 @@
             state.notify_waiters(now_us, events);
             match decision {
                 Decision::Admit => return Ok(self.permit(call)),
-                Decision::Refuse { wait_us } => return Err(Duration::from_micros(wait_us)),
+                Decision::Refuse { wait_us, cause } => {
+                    return Err(Refusal::new(wait_us, cause));
+                }
                 Decision::Queue => {
                     let (sender, result) = oneshot::channel();
                     state.waiters.insert(ticket, Waiter { call, sender });
@@ -116,7 +146,8 @@
             QueuedCall { slot_queue: self.clone(), ticket, result, is_done: false };
         let result = (&mut queued_call.result).await;
         queued_call.is_done = true;
-        result.unwrap_or(Err(Duration::ZERO)).map(|call| self.permit(call))
+        let result = result.unwrap_or(Err(Refusal::new(0, RefusalCause::Slots)));
+        result.map(|call| self.permit(call))
     }
 
     /// Refuses queued calls as they expire and admits others if slots have become free. Never
@@ -124,16 +155,16 @@
     pub(crate) async fn expire_queued_calls(&self) {
         loop {
             let now_us = self.clock.now_us();
-            let next_expiry_at_us = {
+            let next_poll_us = {
                 let mut state = self.lock();
                 let events = state.slot_admission.poll(now_us);
                 state.notify_waiters(now_us, events);
-                state.slot_admission.next_expiry_us()
+                state.slot_admission.next_poll_us(now_us)
             };
-            match next_expiry_at_us {
+            match next_poll_us {
                 None => self.call_queued.notified().await,
-                Some(expiry_us) => {
-                    let delay = Duration::from_micros(expiry_us.saturating_sub(now_us) + 1);
+                Some(poll_us) => {
+                    let delay = Duration::from_micros(poll_us.saturating_sub(now_us) + 1);
                     tokio::time::sleep(delay.min(MAX_POLL_INTERVAL)).await;
                 }
             }
--- a/crates/mesh/src/upstream.rs
+++ b/crates/mesh/src/upstream.rs
@@ -217,19 +217,35 @@
         effect
     }
 
-    /// Records the rate that a process announced with an answer, `None` for no limit. Returns the
-    /// previous one if it has changed. Ignores answers of a process that is not the known one.
+    /// Records the rate that a process announced with an answer, `None` for no limit. Calls `apply`
+    /// and returns the previous rate if it has changed. Ignores answers of a process that is not
+    /// the known one.
     pub(crate) fn record_limit(
         &self,
         upstream: &ServingUpstream,
         limit_per_s: Option<f64>,
+        apply: impl FnOnce(Option<f64>),
     ) -> Option<LimitChange> {
         let mut known = self.lock();
         let process =
             known.as_mut().filter(|process| process.incarnation == upstream.incarnation)?;
         let previous_per_s = process.limit_per_s;
+        if previous_per_s == limit_per_s {
+            return None;
+        }
         process.limit_per_s = limit_per_s;
-        (previous_per_s != limit_per_s).then_some(LimitChange { previous_per_s })
+        apply(limit_per_s);
+        Some(LimitChange { previous_per_s })
+    }
+
+    /// Calls `apply` with the rate that the known process announced in its last answer.
+    pub(crate) fn apply_limit(&self, apply: impl FnOnce(Option<f64>)) {
+        apply(self.lock().as_ref().and_then(|known| known.limit_per_s));
+    }
+
+    /// Returns the rate that the known process announced in its last answer.
+    pub(crate) fn limit_per_s(&self) -> Option<f64> {
+        self.lock().as_ref().and_then(|known| known.limit_per_s)
     }
 
     /// Records that a process leaves. Returns whether it is the known process.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,7 +5,7 @@
 //! simulations can run the logic deterministically.
 //!
 //! The sidecar (crate `node`) uses [`admission`], [`routing`], [`shed`] and the retry allowance and
-//! budget of a profile. The mesh (crate `mesh`) uses [`slots`], [`placement`], [`overload`],
+//! budget of a profile. The mesh (crate `mesh`) uses [`slots`], [`named_limit`], [`placement`], [`overload`],
 //! [`weighted_split`], [`run_table`], [`retry_cost`], [`control_order`] and the retry budget shared by all nodes. Both use
 //! [`quarantine`] and [`request_digest`].
 
@@ -15,6 +15,7 @@
 pub mod critical_reserve;
 pub mod decaying_mean;
 pub mod limit;
+pub mod named_limit;
 pub mod overload;
 pub mod placement;
 pub mod quarantine;
--- a/crates/policy/src/slots.rs
+++ b/crates/policy/src/slots.rs
@@ -12,12 +12,16 @@
 //! a sequence number that the request carries on all hops. A request makes several calls in
 //! sequence: under overload, first-in-first-out queues would make every request late, while a fixed
 //! order across hops lets the first requests complete.
+//!
+//! An upstream may name a limit of calls per second. A call then needs a token of that limit as well
+//! as a slot, and waits for a token only briefly, so that its caller can try another VM.
 
 use std::collections::BTreeMap;
 use std::fmt;
 
 use indexmap::IndexMap;
 
+use crate::named_limit::NamedLimit;
 use crate::{US_PER_MS, US_PER_S};
 
 /// Identifier of a call, assigned by the user of this module.
@@ -46,6 +50,9 @@
 const SERVICE_TIME_MARGIN: f64 = 1.2;
 /// Maximum number of kinds whose mean service times are kept.
 const MAX_KINDS: usize = 1_024;
+/// Maximum time that a call waits for a token of the upstream's named limit, in microseconds. Longer
+/// waits are better spent at another VM.
+const MAX_TOKEN_WAIT_US: u64 = 150 * US_PER_MS;
 /// Maximum queue length, as a multiple of the limit.
 const MAX_QUEUE_PER_LIMIT: usize = 4;
 
@@ -93,6 +100,15 @@
     pub max_wait_us: u64,
 }
 
+/// Why a call is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RefusalCause {
+    /// All slots are taken or reserved.
+    Slots,
+    /// The upstream takes no more calls now than it gets, by the limit that it has named.
+    NamedLimit,
+}
+
 /// Result of a request for a slot.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Decision {
@@ -104,6 +120,8 @@
     Refuse {
         /// Expected wait until the call could have started, in microseconds.
         wait_us: u64,
+        /// Why the call is refused.
+        cause: RefusalCause,
     },
 }
 
@@ -118,6 +136,8 @@
         ticket: Ticket,
         /// Expected further wait, in microseconds.
         wait_us: u64,
+        /// Why the call is refused.
+        cause: RefusalCause,
     },
 }
 
@@ -215,6 +235,8 @@
     in_progress_demand: Demand,
     mean_service_us_by_kind: IndexMap<CallKind, f64>,
     queues: BTreeMap<CallPriority, BTreeMap<QueueKey, QueuedCall>>,
+    /// Limit of calls per second that the upstream has named.
+    named_limit: Option<NamedLimit>,
 }
 
 impl CallPriority {
@@ -244,9 +266,29 @@
             in_progress_demand: Demand::default(),
             mean_service_us_by_kind: IndexMap::new(),
             queues: BTreeMap::new(),
+            named_limit: None,
         }
     }
 
+    /// Removes the named limit, for example because another process runs at the upstream's address.
+    pub fn clear_named_limit(&mut self) {
+        self.named_limit = None;
+    }
+
+    /// Sets the limit that the upstream names, in calls per second, or ends it. Returns the results
+    /// for queued calls.
+    pub fn set_named_limit(&mut self, now_us: u64, limit_per_s: Option<f64>) -> Vec<Event> {
+        match (&mut self.named_limit, limit_per_s) {
+            (Some(named_limit), Some(limit_per_s)) => named_limit.set_limit(now_us, limit_per_s),
+            (Some(named_limit), None) => named_limit.end(now_us),
+            (None, limit_per_s) => {
+                self.named_limit =
+                    limit_per_s.map(|limit_per_s| NamedLimit::new(now_us, limit_per_s));
+            }
+        }
+        self.poll(now_us)
+    }
+
     /// Updates the number of announced slots. A changed number resets the limit.
     pub fn set_announced_slots(&mut self, announced_slots: u32) {
         if announced_slots != self.announced_slots {
@@ -257,18 +299,22 @@
 
     /// Admits, queues or refuses an arriving call. The events report on calls queued earlier.
     pub fn offer(&mut self, now_us: u64, request: SlotRequest) -> (Decision, Vec<Event>) {
+        self.remove_ended_limit(now_us);
         let mut events = self.expire(now_us);
         let service_us = self.expected_service_us(request.kind);
         if request.priority.is_in_progress() {
             self.in_progress_demand.record(now_us, service_us);
         }
+        if let Some(named_limit) = &mut self.named_limit {
+            named_limit.record_arrival(now_us, request.priority);
+        }
         self.grant(now_us, &mut events);
         if self.has_slot(now_us, request.priority) && self.is_next(request.priority) {
-            self.add_running(request.priority);
+            self.start(now_us, request.priority);
             return (Decision::Admit, events);
         }
         let key = QueueKey { sequence: request.sequence, ticket: request.ticket };
-        let wait_us = self.expected_wait_us(now_us, request.priority, key);
+        let (wait_us, cause) = self.expected_wait_us(now_us, request.priority, key);
         let queued_call = QueuedCall {
             kind: request.kind,
             queued_us: now_us,
@@ -276,12 +322,12 @@
             max_wait_us: request.max_wait_us,
         };
         if self.latest_start_us(&queued_call) < now_us + wait_us {
-            return (Decision::Refuse { wait_us }, events);
+            return (Decision::Refuse { wait_us, cause }, events);
         }
         if self.queued() >= self.current_limit(now_us) as usize * MAX_QUEUE_PER_LIMIT {
             match self.evict_behind(request.priority, key) {
-                Some(ticket) => events.push(Event::Refuse { ticket, wait_us }),
-                None => return (Decision::Refuse { wait_us }, events),
+                Some(ticket) => events.push(Event::Refuse { ticket, wait_us, cause }),
+                None => return (Decision::Refuse { wait_us, cause }, events),
             }
         }
         let queue = self.queues.entry(request.priority).or_default();
@@ -311,22 +357,34 @@
 
     /// Refuses queued calls that can no longer start in time and grants free slots to others.
     pub fn poll(&mut self, now_us: u64) -> Vec<Event> {
+        self.remove_ended_limit(now_us);
         let mut events = self.expire(now_us);
         self.grant(now_us, &mut events);
         events
     }
 
+    fn remove_ended_limit(&mut self, now_us: u64) {
+        self.named_limit.take_if(|named_limit| named_limit.has_ended(now_us));
+    }
+
     /// Refuses every queued call, for example when the upstream leaves.
     pub fn refuse_all(&mut self) -> Vec<Event> {
         let queues = std::mem::take(&mut self.queues);
         let tickets = queues.into_values().flat_map(BTreeMap::into_keys);
-        tickets.map(|key| Event::Refuse { ticket: key.ticket, wait_us: 0 }).collect()
+        let cause = RefusalCause::Slots;
+        tickets.map(|key| Event::Refuse { ticket: key.ticket, wait_us: 0, cause }).collect()
     }
 
-    /// Returns the earliest time at which a queued call expires, in microseconds.
-    pub fn next_expiry_us(&self) -> Option<u64> {
+    /// Returns the earliest time at which a queued call expires or may get a token of the named
+    /// limit, in microseconds.
+    pub fn next_poll_us(&self, now_us: u64) -> Option<u64> {
         let queued_calls = self.queues.values().flat_map(BTreeMap::values);
-        queued_calls.map(|queued_call| self.latest_start_us(queued_call)).min()
+        let expiry_us = queued_calls.map(|queued_call| self.latest_start_us(queued_call)).min();
+        let token_us = self.named_limit.as_ref().and_then(|named_limit| {
+            let waiting = self.queues.iter().filter(|(_, queue)| !queue.is_empty());
+            waiting.map(|(priority, _)| now_us + named_limit.wait_us(now_us, *priority, 0, 0)).min()
+        });
+        [expiry_us, token_us].into_iter().flatten().min()
     }
 
     /// Returns the current load.
@@ -334,7 +392,17 @@
         SlotLoad {
             in_flight: self.running(),
             queued: self.queued() as u32,
-            limit: self.current_limit(now_us),
+            limit: self.reported_limit(now_us),
+        }
+    }
+
+    /// Returns the number of concurrent calls that other nodes should count on: with a named limit,
+    /// the running calls and those that may be sent at once.
+    fn reported_limit(&self, now_us: u64) -> u32 {
+        let limit = self.current_limit(now_us);
+        match self.named_limit.as_ref().filter(|named_limit| !named_limit.has_ended(now_us)) {
+            Some(named_limit) => limit.min(self.running() + named_limit.tokens(now_us)).max(1),
+            None => limit,
         }
     }
 
@@ -349,8 +417,12 @@
         }
     }
 
-    fn add_running(&mut self, priority: CallPriority) {
+    /// Starts a call: takes a slot and a token of the named limit.
+    fn start(&mut self, now_us: u64, priority: CallPriority) {
         *self.running_mut(priority) += 1;
+        if let Some(named_limit) = &mut self.named_limit {
+            named_limit.take(now_us, priority);
+        }
     }
 
     fn queued(&self) -> usize {
@@ -396,7 +468,15 @@
         remaining.max(limit * NEW_REQUEST_FLOOR_SHARE).max(1.0) as u32
     }
 
+    fn has_token(&self, now_us: u64, priority: CallPriority) -> bool {
+        self.named_limit.as_ref().is_none_or(|named_limit| named_limit.has_token(now_us, priority))
+    }
+
+    /// Returns whether a call may start: there is a slot and a token of the named limit.
     fn has_slot(&self, now_us: u64, priority: CallPriority) -> bool {
+        if !self.has_token(now_us, priority) {
+            return false;
+        }
         let is_free = self.running() < self.current_limit(now_us);
         match priority {
             CallPriority::InProgress(_) => is_free,
@@ -415,11 +495,36 @@
     fn latest_start_us(&self, queued_call: &QueuedCall) -> u64 {
         let service_us = (self.expected_service_us(queued_call.kind) * SERVICE_TIME_MARGIN) as u64;
         let by_deadline = queued_call.deadline_us.saturating_sub(service_us);
-        by_deadline.min(queued_call.queued_us + queued_call.max_wait_us)
+        let max_wait_us = match self.named_limit {
+            Some(_) => queued_call.max_wait_us.min(MAX_TOKEN_WAIT_US),
+            None => queued_call.max_wait_us,
+        };
+        by_deadline.min(queued_call.queued_us + max_wait_us)
+    }
+
+    /// Estimates the wait behind the queued calls that precede `key`, in microseconds, and what it
+    /// is for.
+    fn expected_wait_us(
+        &self,
+        now_us: u64,
+        priority: CallPriority,
+        key: QueueKey,
+    ) -> (u64, RefusalCause) {
+        let slot_wait_us = self.expected_slot_wait_us(now_us, priority, key);
+        let token_wait_us = self.named_limit.as_ref().map_or(0, |named_limit| {
+            let more_urgent = self.queues.range(..priority).map(|(_, queue)| queue.len());
+            let same_queue = self.queues.get(&priority);
+            let ahead_of_priority = same_queue.map_or(0, |queue| queue.range(..key).count());
+            let ahead = more_urgent.sum::<usize>() + ahead_of_priority;
+            named_limit.wait_us(now_us, priority, ahead, ahead_of_priority)
+        });
+        match token_wait_us > slot_wait_us {
+            true => (token_wait_us, RefusalCause::NamedLimit),
+            false => (slot_wait_us, RefusalCause::Slots),
+        }
     }
 
-    /// Estimates the wait behind the queued calls that precede `key`, in microseconds.
-    fn expected_wait_us(&self, now_us: u64, priority: CallPriority, key: QueueKey) -> u64 {
+    fn expected_slot_wait_us(&self, now_us: u64, priority: CallPriority, key: QueueKey) -> u64 {
         let before = self.queues.range(..priority).flat_map(|(_, queue)| queue.values());
         let same_queue = self.queues.get(&priority);
         let same_queue_before = same_queue.into_iter().flat_map(|queue| queue.range(..key));
@@ -444,8 +549,8 @@
         }
         let refuse = |(priority, key): (CallPriority, QueueKey)| {
             self.queues.get_mut(&priority).map(|queue| queue.remove(&key));
-            let wait_us = self.expected_wait_us(now_us, priority, key);
-            Event::Refuse { ticket: key.ticket, wait_us }
+            let (wait_us, cause) = self.expected_wait_us(now_us, priority, key);
+            Event::Refuse { ticket: key.ticket, wait_us, cause }
         };
         expired.into_iter().map(refuse).collect()
     }
@@ -467,13 +572,32 @@
             else {
                 return;
             };
-            self.add_running(priority);
+            self.start(now_us, priority);
             events.push(Event::Admit(key.ticket));
         }
     }
 
     /// Returns the priority of the queue that gets the next free slot, if a slot is available.
     fn next_priority(&self, now_us: u64) -> Option<CallPriority> {
+        match &self.named_limit {
+            Some(named_limit) => self.next_limited_priority(now_us, named_limit),
+            None => self.next_unlimited_priority(now_us),
+        }
+    }
+
+    /// Returns the same while the upstream names a limit, whose tokens are then scarcer than slots.
+    fn next_limited_priority(&self, now_us: u64, named_limit: &NamedLimit) -> Option<CallPriority> {
+        let ready = |priority: &CallPriority| {
+            let has_queued_call = self.queues.get(priority).is_some_and(|queue| !queue.is_empty());
+            has_queued_call && self.has_slot(now_us, *priority)
+        };
+        let due = |priority: &CallPriority| named_limit.is_due(now_us, *priority);
+        let mut ready_priorities = self.queues.keys().copied().filter(ready);
+        let first = ready_priorities.next()?;
+        Some(ready_priorities.find(due).unwrap_or(first))
+    }
+
+    fn next_unlimited_priority(&self, now_us: u64) -> Option<CallPriority> {
         let floor = f64::from(self.current_limit(now_us)) * NEW_REQUEST_FLOOR_SHARE;
         let has_queued_call = |priority: &CallPriority| {
             self.queues.get(priority).is_some_and(|queue| !queue.is_empty())
--- a/crates/policy/tests/overload.rs
+++ b/crates/policy/tests/overload.rs
@@ -85,7 +85,7 @@
     let (decision, _) =
         slot_admission.offer(MS, slot_request(101, CallPriority::NewRequest(1), 0, 5 * S));
     assert_eq!(decision, Decision::Queue);
-    assert!(slot_admission.next_expiry_us().is_some_and(|at_us| at_us <= 151 * MS));
+    assert!(slot_admission.next_poll_us(MS).is_some_and(|at_us| at_us <= 151 * MS));
     assert!(matches!(slot_admission.poll(200 * MS)[..], [Event::Refuse { ticket: 101, .. }]));
 }
 
@@ -203,7 +203,9 @@
             granted.extend(more);
             match decision {
                 Decision::Admit => granted.push(Event::Admit(ticket)),
-                Decision::Refuse { wait_us } => granted.push(Event::Refuse { ticket, wait_us }),
+                Decision::Refuse { wait_us, cause } => {
+                    granted.push(Event::Refuse { ticket, wait_us, cause });
+                }
                 Decision::Queue => {}
             }
         }
