Send nothing to an upstream that says in an answer that it leaves

Seen by callers: by the rule that is new on the users' pages, requests reach an instance more than 2 s after it said Server-Leaving, while its heartbeats still say that it is ready. Cause: no source read the header. Class: a field of the users' pages that nobody reads. Change: the node beside the upstream takes the first answer that says so as the announcement of a planned stop: it sends nothing more, refuses queued calls as not run, and tells control and callers. It holds until another process starts, also if a later answer doesn't say it. Each node that passed on such an answer remembers it for that process, since the node beside the upstream may restart and forget. Values other than 1 and 0 are ignored, logged and counted.

--- a/crates/mesh/src/dispatch.rs
+++ b/crates/mesh/src/dispatch.rs
@@ -180,6 +180,11 @@
                 Err(_) => (Err(CallFailure::unknown(Reason::DeadlineExceeded)), None),
             };
         tracker.finish(&result, load);
+        if let Ok(answer) = &result
+            && self.ingress.is_leaving_answer(&answer.headers)
+        {
+            self.endpoints.record_leaving(&head.service, &chosen.vm);
+        }
         result
     }
 
--- a/crates/mesh/src/endpoints.rs
+++ b/crates/mesh/src/endpoints.rs
@@ -1,5 +1,8 @@
 //! Table of the VMs that run each service, updated by control and by the results of calls.
 
+#[cfg(test)]
+mod tests;
+
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -33,6 +36,23 @@
     incarnation: u64,
     /// When control stopped listing the VM, in microseconds. `None` while it is listed.
     unlisted_since_us: Option<u64>,
+    /// Upstream process on the VM, if control lists it.
+    process: Option<UpstreamProcess>,
+    /// Whether an answer of that process said that it is about to stop.
+    has_left: bool,
+}
+
+/// Identity of an upstream process.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct UpstreamProcess {
+    instance_id: String,
+    started_unix_ms: u64,
+}
+
+impl PeerEndpoint {
+    fn new(address: SocketAddr, incarnation: u64, process: Option<UpstreamProcess>) -> Self {
+        Self { address, incarnation, unlisted_since_us: None, process, has_left: false }
+    }
 }
 
 #[derive(Debug)]
@@ -83,10 +103,7 @@
         let Some(service) = service else { return };
         let endpoints = table.service(service, &self.own_data_centre);
         endpoints.placement.upsert(&vm.name, &vm.data_centre, is_leaving);
-        endpoints.peers.insert(
-            vm.name.clone(),
-            PeerEndpoint { address, incarnation: 0, unlisted_since_us: None },
-        );
+        endpoints.peers.insert(vm.name.clone(), PeerEndpoint::new(address, 0, None));
     }
 
     /// Adds or updates an endpoint that control reported.
@@ -107,9 +124,15 @@
         }
         table.vms.insert(vm.clone());
         let endpoints = table.service(&service, &self.own_data_centre);
-        endpoints.placement.upsert(&vm, &data_centre, endpoint.is_leaving);
-        let peer =
-            PeerEndpoint { address, incarnation: endpoint.incarnation, unlisted_since_us: None };
+        let process = endpoint.upstream.as_ref().map(|process| UpstreamProcess {
+            instance_id: process.instance_id.clone(),
+            started_unix_ms: process.started_unix_ms,
+        });
+        let mut peer = PeerEndpoint::new(address, endpoint.incarnation, process);
+        // Control may not know yet that the process has said that it leaves.
+        let known = endpoints.peers.get(&vm);
+        peer.has_left = known.is_some_and(|known| known.has_left && known.process == peer.process);
+        endpoints.placement.upsert(&vm, &data_centre, endpoint.is_leaving || peer.has_left);
         let known = endpoints.peers.insert(vm.clone(), peer);
         if known.is_some_and(|known| known.incarnation != endpoint.incarnation) {
             endpoints.placement.restart(&vm);
@@ -209,6 +232,18 @@
         }
     }
 
+    /// Records that an answer of the upstream on a VM said that it is about to stop. The node of the
+    /// VM may forget that when it restarts.
+    pub(crate) fn record_leaving(&self, service: &ServiceName, vm: &VmName) {
+        let mut table = self.lock();
+        let Some(endpoints) = table.services.get_mut(service) else { return };
+        let Some(peer) = endpoints.peers.get_mut(vm) else { return };
+        if !std::mem::replace(&mut peer.has_left, true) {
+            endpoints.placement.set_leaving(vm);
+            info!(self.log, "endpoint-leaving"; "vm" => %vm, "service" => %service);
+        }
+    }
+
     /// Returns the probability that a request to a service fails for lack of capacity, from zero to
     /// one.
     pub(crate) fn overload(&self, now_us: u64, service: &ServiceName) -> f64 {
--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -218,6 +218,11 @@
         self.adapter.read_request(headers).request_id
     }
 
+    /// Returns whether an upstream says with an answer that it is about to stop.
+    pub(crate) fn is_leaving_answer(&self, headers: &HeaderMap) -> bool {
+        self.adapter.read_announcements(headers).is_leaving == Announcement::Value(true)
+    }
+
     /// Runs a call at the upstream once it is admitted.
     ///
     /// # Errors
@@ -456,15 +461,41 @@
                 self.record_limit(head, upstream, Some(limit_per_s));
             }
             Announcement::Unreadable => {
-                self.metrics.announcements_ignored.inc();
-                if let Some(log) = self.request_log.rate_limited_logger(&self.metrics) {
-                    warn!(log, "upstream-limit-ignored"; "request" => head.id_text(),
-                        "instance" => &*upstream.instance_id);
-                }
+                self.ignore_announcement("upstream-limit-ignored", head, upstream);
+            }
+        }
+        match announcements.is_leaving {
+            Announcement::Absent | Announcement::Value(false) => {}
+            Announcement::Value(true) => self.record_leaving(head, upstream),
+            Announcement::Unreadable => {
+                self.ignore_announcement("upstream-leaving-ignored", head, upstream);
             }
         }
     }
 
+    fn ignore_announcement(
+        &self,
+        event: &'static str,
+        head: &CallHead,
+        upstream: &ServingUpstream,
+    ) {
+        self.metrics.announcements_ignored.inc();
+        if let Some(log) = self.request_log.rate_limited_logger(&self.metrics) {
+            warn!(log, "{}", event; "request" => head.id_text(),
+                "instance" => &*upstream.instance_id);
+        }
+    }
+
+    /// Sends no further calls to an upstream that is about to stop, and tells control and callers.
+    fn record_leaving(&self, head: &CallHead, upstream: &ServingUpstream) {
+        if !self.upstream_state.record_leaving(upstream) {
+            return;
+        }
+        info!(self.log, "upstream-leaves"; "instance" => &*upstream.instance_id,
+            "is_known" => true, "request" => head.id_text());
+        self.refuse_queued_if_not_serving();
+    }
+
     fn apply_limit(&self, limit_per_s: Option<f64>) {
         self.slot_queue.set_named_limit(limit_per_s);
         self.metrics.upstream_limit_per_s.set(limit_per_s.unwrap_or(NO_LIMIT_PER_S));
--- a/crates/mesh/src/protocol_adapter.rs
+++ b/crates/mesh/src/protocol_adapter.rs
@@ -94,6 +94,9 @@
     /// Maximum rate of requests that the upstream takes from all nodes together, in requests per
     /// second; finite and not negative. Applies until an answer without it.
     pub limit_per_s: Announcement<f64>,
+    /// Whether the upstream process is about to stop. Once it has said so, it never returns to
+    /// serving.
+    pub is_leaving: Announcement<bool>,
 }
 
 /// Lifecycle phase that an upstream reports.
--- a/crates/mesh/src/upstream.rs
+++ b/crates/mesh/src/upstream.rs
@@ -253,6 +253,17 @@
         self.set_phase(instance_id, |_| Some(Phase::Left))
     }
 
+    /// Records that a process has announced with an answer that it is about to stop. Returns whether
+    /// that was not known.
+    pub(crate) fn record_leaving(&self, upstream: &ServingUpstream) -> bool {
+        if self.is_replaced(upstream) {
+            return false;
+        }
+        self.set_phase(&upstream.instance_id, |phase| {
+            matches!(phase, Phase::Serving | Phase::Unreachable).then_some(Phase::Draining)
+        })
+    }
+
     /// Records that a process cannot be reached, unless another one has reported since.
     pub(crate) fn mark_unreachable(&self, upstream: &ServingUpstream) {
         if self.is_replaced(upstream) {
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -129,6 +129,13 @@
         candidate.is_leaving = is_leaving;
     }
 
+    /// Records that a VM is leaving, so that it is not chosen again until it is added again.
+    pub fn set_leaving(&mut self, vm: &VmName) {
+        if let Some(candidate) = self.candidates.get_mut(vm) {
+            candidate.is_leaving = true;
+        }
+    }
+
     /// Ends the backoff of a VM and discards its reported load, for example when its node restarts.
     pub fn restart(&mut self, vm: &VmName) {
         if let Some(candidate) = self.candidates.get_mut(vm) {
