Restore the limit of an upstream when its node restarts

Cause: a node that restarts knows the limit only after its first answer, while the requests of all other nodes still count. Found by reading. Change: nodes report the limit to control with the upstream process; a restarted node gets it back with its own endpoint and applies it until the process answers.

--- a/crates/mesh/src/attachment.rs
+++ b/crates/mesh/src/attachment.rs
@@ -85,7 +85,7 @@
             warn!(self.parts.log, "own-endpoint-ignored"; "address" => process.address.clone());
             return;
         };
-        self.parts.ingress.restore_upstream(UpstreamReport {
+        let report = UpstreamReport {
             instance_id: process.instance_id.as_str().into(),
             started_unix_ms: (process.started_unix_ms > 0).then_some(process.started_unix_ms),
             sequence: 0,
@@ -97,7 +97,8 @@
                 false => UpstreamPhase::Serving,
             },
             cold_remaining: Duration::ZERO,
-        });
+        };
+        self.parts.ingress.restore_upstream(report, process.limit_per_s);
     }
 
     fn called_services(&self) -> Vec<String> {
@@ -188,6 +189,7 @@
                 address: upstream.address.to_string(),
                 started_unix_ms: upstream.started_unix_ms.unwrap_or(0),
                 is_draining: upstream.phase == UpstreamPhase::Draining,
+                limit_per_s: self.parts.ingress.upstream_state.limit_per_s(),
             }),
         });
         NodeReport {
--- a/crates/mesh/src/endpoints/tests.rs
+++ b/crates/mesh/src/endpoints/tests.rs
@@ -20,7 +20,7 @@
             instance_id: "i-1".to_owned(),
             address: "127.0.0.1:8301".to_owned(),
             started_unix_ms,
-            is_draining: false,
+            ..rpc::UpstreamProcess::default()
         }),
         ..rpc::Endpoint::default()
     }
--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -175,13 +175,15 @@
     }
 
     /// Restores the state of the upstream from control, unless the upstream has reported to this
-    /// node.
-    pub(crate) fn restore_upstream(&self, report: UpstreamReport) {
+    /// node, and the limit that it named, unless it has answered a call of this node.
+    pub(crate) fn restore_upstream(&self, report: UpstreamReport, limit_per_s: Option<f64>) {
         if self.upstream_state.service().is_none() {
             info!(self.log, "upstream-recovered"; "instance" => &*report.instance_id,
-                "phase" => ?report.phase);
-            self.record_report(report);
+                "phase" => ?report.phase, "limit_per_s" => limit_per_s);
+            self.record_report(report.clone());
         }
+        let apply = |limit_per_s| self.apply_limit(limit_per_s);
+        self.upstream_state.restore_limit(&report, limit_per_s, apply);
     }
 
     /// Applies a status report of the upstream.
--- a/crates/mesh/src/upstream.rs
+++ b/crates/mesh/src/upstream.rs
@@ -44,6 +44,8 @@
     stopped_predecessor: Option<u64>,
     /// Rate of requests that the process announced in its last answer, in requests per second.
     limit_per_s: Option<f64>,
+    /// Whether the process has answered a call of this node.
+    has_answered: bool,
 }
 
 impl KnownProcess {
@@ -193,10 +195,9 @@
         };
         let cold_until_us = now_us + report.cold_remaining.as_micros() as u64;
         let incarnation = incarnation(&report);
-        let limit_per_s = known
-            .as_ref()
-            .filter(|known| known.incarnation == incarnation)
-            .and_then(|known| known.limit_per_s);
+        let same_process = known.as_ref().filter(|known| known.incarnation == incarnation);
+        let limit_per_s = same_process.and_then(|known| known.limit_per_s);
+        let has_answered = same_process.is_some_and(|known| known.has_answered);
         let stopped_predecessor = match known.as_ref() {
             Some(known) if known.incarnation == incarnation => known.stopped_predecessor,
             Some(known) => known.is_stopping().then_some(known.incarnation),
@@ -209,6 +210,7 @@
             incarnation,
             stopped_predecessor,
             limit_per_s,
+            has_answered,
         });
         drop(known);
         if effect != ReportEffect::Unchanged {
@@ -229,6 +231,7 @@
         let mut known = self.lock();
         let process =
             known.as_mut().filter(|process| process.incarnation == upstream.incarnation)?;
+        process.has_answered = true;
         let previous_per_s = process.limit_per_s;
         if previous_per_s == limit_per_s {
             return None;
@@ -238,6 +241,23 @@
         Some(LimitChange { previous_per_s })
     }
 
+    /// Restores the rate that an earlier process of this node has recorded, unless the reporting
+    /// process has answered since. Calls `apply` if there is one.
+    pub(crate) fn restore_limit(
+        &self,
+        report: &UpstreamReport,
+        limit_per_s: Option<f64>,
+        apply: impl FnOnce(Option<f64>),
+    ) {
+        let mut known = self.lock();
+        let process = known.as_mut().filter(|process| process.is_same_process(report));
+        let Some(process) = process.filter(|process| !process.has_answered) else { return };
+        if limit_per_s.is_some() {
+            process.limit_per_s = limit_per_s;
+            apply(limit_per_s);
+        }
+    }
+
     /// Calls `apply` with the rate that the known process announced in its last answer.
     pub(crate) fn apply_limit(&self, apply: impl FnOnce(Option<f64>)) {
         apply(self.lock().as_ref().and_then(|known| known.limit_per_s));
--- a/crates/rpc/src/generated.rs
+++ b/crates/rpc/src/generated.rs
@@ -142,7 +142,7 @@
     #[prost(message, repeated, tag = "2")]
     pub profiles: ::prost::alloc::vec::Vec<ProfileRecord>,
 }
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Endpoint {
     #[prost(string, tag = "1")]
     pub vm: ::prost::alloc::string::String,
@@ -167,7 +167,7 @@
     #[prost(message, optional, tag = "10")]
     pub upstream: ::core::option::Option<UpstreamProcess>,
 }
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct UpstreamProcess {
     #[prost(string, tag = "1")]
     pub instance_id: ::prost::alloc::string::String,
@@ -178,8 +178,11 @@
     pub started_unix_ms: u64,
     #[prost(bool, tag = "4")]
     pub is_draining: bool,
+    /// Requests per second that the process takes from all nodes together; absent without a limit.
+    #[prost(double, optional, tag = "5")]
+    pub limit_per_s: ::core::option::Option<f64>,
 }
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct NodeReport {
     #[prost(uint32, tag = "1")]
     pub protocol_version: u32,
