--- a/crates/mesh/src/attachment.rs
+++ b/crates/mesh/src/attachment.rs
@@ -179,7 +179,7 @@
             data_centre: vm.data_centre.to_string(),
             service: upstream.service.to_string(),
             profile: String::new(),
-            peer_address: self.parts.settings.peer_listen.to_string(),
+            peer_address: self.parts.settings.peer_advertise.to_string(),
             slots: upstream.slots,
             is_leaving: self.parts.ingress.is_leaving(),
             incarnation: self.incarnation,
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -16,6 +16,8 @@
     pub caller_listen: SocketAddr,
     /// Listen address for other nodes.
     pub peer_listen: SocketAddr,
+    /// Address at which other nodes connect to `peer_listen`.
+    pub peer_advertise: SocketAddr,
     /// Listen address for readiness probes.
     pub ready_listen: SocketAddr,
     /// Listen address for status reports of the upstream.
