--- a/crates/testbed/src/relay.rs
+++ b/crates/testbed/src/relay.rs
@@ -13,6 +13,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -37,6 +38,10 @@
     connection_count: AtomicU64,
     /// Of the connections with a lower id, one in three is silent.
     silent_below_id: AtomicU64,
+    /// Connections with a lower id are reset.
+    reset_below_id: AtomicU64,
+    /// Delay of all data, in microseconds.
+    delay_us: AtomicU64,
     /// Maximum duration of the lookup of a connection's source, in microseconds.
     max_source_lookup_us: AtomicU64,
 }
@@ -66,6 +71,16 @@
             .store(self.connection_count.load(Ordering::Relaxed), Ordering::Relaxed);
     }
 
+    /// Resets all open connections.
+    pub fn reset_open_connections(&self) {
+        self.reset_below_id.store(self.connection_count.load(Ordering::Relaxed), Ordering::Relaxed);
+    }
+
+    /// Delays all data by this time, in each direction.
+    pub fn set_delay(&self, delay: Duration) {
+        self.delay_us.store(delay.as_micros() as u64, Ordering::Relaxed);
+    }
+
     /// Returns the maximum duration of the lookup of a connection's source.
     ///
     /// The connection is not relayed before the lookup is done. If that takes longer than the
@@ -88,6 +103,14 @@
             && connection_id.is_multiple_of(SILENCED_ONE_IN)
     }
 
+    fn is_reset(&self, connection_id: u64) -> bool {
+        connection_id < self.reset_below_id.load(Ordering::Relaxed)
+    }
+
+    fn delay(&self) -> Duration {
+        Duration::from_micros(self.delay_us.load(Ordering::Relaxed))
+    }
+
     fn cut_links(&self) -> MutexGuard<'_, HashSet<(DataCentre, DataCentre)>> {
         self.cut_links.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -159,6 +182,11 @@
         &self.links
     }
 
+    /// Returns the same for use by other threads.
+    pub fn shared_links(&self) -> Arc<Links> {
+        Arc::clone(&self.links)
+    }
+
     /// Relays connections of nodes and control replicas to a target in a data centre.
     ///
     /// # Errors
@@ -225,6 +253,7 @@
         }
         let Ok(server_stream) = TcpStream::connect(self.target).await else { return };
         let _ = (stream.set_nodelay(true), server_stream.set_nodelay(true));
+        let sockets = [&stream, &server_stream].map(|stream| SockRef::from(stream).try_clone());
         let (client_read, client_write) = stream.into_split();
         let (server_read, server_write) = server_stream.into_split();
         let direction = |from: &DataCentre, to: &DataCentre| Direction {
@@ -237,7 +266,15 @@
             forward(client_read, server_write, direction(&from, &self.data_centre));
         let server_to_client =
             forward(server_read, client_write, direction(&self.data_centre, &from));
-        tokio::join!(client_to_server, server_to_client);
+        tokio::select! {
+            _ = async { tokio::join!(client_to_server, server_to_client) } => {}
+            () = wait_for_reset(&links, connection_id) => {
+                for socket in sockets.into_iter().flatten() {
+                    // Makes the close that follows a reset. Fails only if the peer has closed it.
+                    let _ = socket.set_linger(Some(Duration::ZERO));
+                }
+            }
+        }
     }
 
     async fn source_data_centre(&self, stream: &TcpStream, links: &Arc<Links>) -> DataCentre {
@@ -260,6 +297,12 @@
     }
 }
 
+async fn wait_for_reset(links: &Links, connection_id: u64) {
+    while !links.is_reset(connection_id) {
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
 /// One direction of a relayed connection, with the data centres at its ends.
 struct Direction {
     links: Arc<Links>,
@@ -272,6 +315,10 @@
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
         let byte_count = read.read(&mut buffer).await.unwrap_or(0);
+        let delay = direction.links.delay();
+        if !delay.is_zero() {
+            tokio::time::sleep(delay).await;
+        }
         if direction.links.is_silent(direction.connection_id) {
             // From here on, neither data nor the end of the connection is delivered.
             std::future::pending::<()>().await;
