Do not send the parent of a quarantined call to a second upstream

Cause: the mesh had no counterpart of is_final of the other path: what a lower hop has given up was repeated above. Change: the node that made the quarantined call marks the request that its upstream runs; the answer of that run carries heatherweir-final, and neither it nor the requests above it are sent to another upstream. Nodes of older versions ignore it.

--- a/crates/mesh/src/caller_listener.rs
+++ b/crates/mesh/src/caller_listener.rs
@@ -145,6 +145,13 @@
             let calls = answer.calls.unwrap_or(0).saturating_add(1);
             self.dispatcher.ingress.add_calls(request_id, calls);
         }
+        let is_final = match &result {
+            Ok(answer) => answer.is_final && answer.status.is_server_error(),
+            Err(failure) => failure.reason == Reason::Quarantined,
+        };
+        if let Some(request_id) = request_id.filter(|_| is_final) {
+            self.dispatcher.ingress.record_final_failure(&request_id);
+        }
         // A quarantined call says nothing about the capacity of the service.
         let is_not_run = result.as_ref().is_err_and(|failure| {
             failure.outcome == Outcome::NotRun && failure.reason != Reason::Quarantined
--- a/crates/mesh/src/dispatch.rs
+++ b/crates/mesh/src/dispatch.rs
@@ -234,7 +234,8 @@
 /// An upstream that exceeds its deadline responds with a timeout status, which is not retried
 /// because no time is left.
 fn is_retryable_error(answer: &Answer) -> bool {
-    answer.status == StatusCode::INTERNAL_SERVER_ERROR && answer.body.is_buffered()
+    let is_error = answer.status == StatusCode::INTERNAL_SERVER_ERROR;
+    is_error && answer.body.is_buffered() && !answer.is_final
 }
 
 /// Reports the result of an attempt to placement, also if the attempt is cancelled.
--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -46,6 +46,8 @@
     /// Number of calls that the run made, over all levels below it. `None` if a node of an older
     /// version answered.
     pub(crate) calls: Option<u32>,
+    /// Whether the failure that the answer reports would recur at every upstream.
+    pub(crate) is_final: bool,
 }
 
 /// Load of a node, sent with each of its responses.
@@ -160,6 +162,13 @@
         }
     }
 
+    /// Records that a call with this request id failed and would fail at every upstream.
+    pub(crate) fn record_final_failure(&self, request_id: &HeaderValue) {
+        if let Some(parent_id) = self.adapter.parent_id(request_id) {
+            self.running_requests.record_final_failure(parent_id);
+        }
+    }
+
     /// Records a call made by the upstream, with the overload probability of the called service.
     pub(crate) fn record_call(&self, overload: f64) {
         self.lock_overload().record_call(self.clock.now_us(), overload);
@@ -421,7 +430,8 @@
         match classification {
             AnswerClassification::Answer => {
                 let answer = read_answer(response, connection, permit, run).await?;
-                Ok(Answer { calls: Some(running_guard.calls()), ..answer })
+                let is_final = running_guard.has_final_failure();
+                Ok(Answer { calls: Some(running_guard.calls()), is_final, ..answer })
             }
             AnswerClassification::AtCapacity => {
                 run.finish_not_run();
@@ -535,7 +545,7 @@
     if is_large {
         let guard = StreamGuard::Upstream { _permit: permit, connection, run: Box::new(run) };
         let body = AnswerBody::streaming(bytes::Bytes::new(), incoming, guard);
-        return Ok(Answer { status: parts.status, headers, body, calls: None });
+        return Ok(Answer { status: parts.status, headers, body, calls: None, is_final: false });
     }
     let Ok((buffered, is_complete)) = body::read_buffered(&mut incoming).await else {
         let _ = run.finish_broken().await;
@@ -550,7 +560,7 @@
         let guard = StreamGuard::Upstream { _permit: permit, connection, run: Box::new(run) };
         AnswerBody::streaming(buffered, incoming, guard)
     };
-    Ok(Answer { status: parts.status, headers, body, calls: None })
+    Ok(Answer { status: parts.status, headers, body, calls: None, is_final: false })
 }
 
 /// Returns the connection of a refused call to the pool if the body of the refusal fits the buffer.
--- a/crates/mesh/src/peer.rs
+++ b/crates/mesh/src/peer.rs
@@ -36,6 +36,8 @@
 const LOAD: HeaderName = HeaderName::from_static("heatherweir-load");
 /// Number of calls that a run made, over all levels below it. Absent in answers of older nodes.
 const CALLS: HeaderName = HeaderName::from_static("heatherweir-calls");
+/// Present in a failure that would recur at every upstream. Nodes of older versions ignore it.
+const FINAL: HeaderName = HeaderName::from_static("heatherweir-final");
 const OUTCOME: HeaderName = HeaderName::from_static(headers::OUTCOME);
 const REASON: HeaderName = HeaderName::from_static(headers::REASON);
 /// Expected wait for a slot in microseconds, and whether the call may have reached the upstream.
@@ -85,6 +87,7 @@
     };
     let failure = decode_failure(&parts.headers);
     let calls = parts.headers.get(CALLS).and_then(|value| value.to_str().ok()?.parse().ok());
+    let is_final = parts.headers.contains_key(FINAL);
     let read = match incoming.size_hint().lower() > body::MAX_BUFFERED_BYTES as u64 {
         true => Ok((bytes::Bytes::new(), false)),
         false => body::read_buffered(&mut incoming).await,
@@ -102,7 +105,7 @@
         Some(failure) => Err(failure),
         None => {
             let headers = forwarded_headers(parts.headers);
-            Ok(Answer { status: parts.status, headers, body, calls })
+            Ok(Answer { status: parts.status, headers, body, calls, is_final })
         }
     };
     (result, Some(load))
@@ -157,6 +160,9 @@
                 if let Some(calls) = answer.calls {
                     response.headers_mut().insert(CALLS, HeaderValue::from(calls));
                 }
+                if answer.is_final {
+                    response.headers_mut().insert(FINAL, HeaderValue::from_static("1"));
+                }
                 response
             }
             Err(failure) => encode_failure(&failure),
--- a/crates/mesh/src/running_requests.rs
+++ b/crates/mesh/src/running_requests.rs
@@ -22,6 +22,8 @@
     parent: ParentRequest,
     /// Number of calls that the upstream has made for the request, over all levels below it.
     calls: u32,
+    /// Whether a call failed that fails at every upstream.
+    has_final_failure: bool,
 }
 
 /// Running requests by request id.
@@ -38,7 +40,8 @@
         parent_request: ParentRequest,
     ) -> RunningRequestGuard {
         if let Some(id) = id {
-            let request = RunningRequest { parent: parent_request, calls: 0 };
+            let request =
+                RunningRequest { parent: parent_request, calls: 0, has_final_failure: false };
             requests.lock().insert(id.clone(), request);
         }
         RunningRequestGuard { requests: Arc::clone(requests), id: id.cloned() }
@@ -58,6 +61,14 @@
         }
     }
 
+    /// Records that a call of a running request failed and would fail at every upstream.
+    pub(crate) fn record_final_failure(&self, id: &[u8]) {
+        let Ok(id) = HeaderValue::from_bytes(id) else { return };
+        if let Some(request) = self.lock().get_mut(&id) {
+            request.has_final_failure = true;
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, HashMap<HeaderValue, RunningRequest>> {
         self.requests.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -75,6 +86,14 @@
         let id = self.id.as_ref();
         id.and_then(|id| self.requests.lock().get(id).map(|request| request.calls)).unwrap_or(0)
     }
+
+    /// Returns whether a call of the request failed that fails at every upstream, so that the request
+    /// fails at every upstream too.
+    pub(crate) fn has_final_failure(&self) -> bool {
+        let id = self.id.as_ref();
+        let request = id.and_then(|id| self.requests.lock().get(id).copied());
+        request.is_some_and(|request| request.has_final_failure)
+    }
 }
 
 impl Drop for RunningRequestGuard {
