--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod control_order;
 pub mod critical_reserve;
 pub mod decaying_mean;
+mod demand;
 pub mod limit;
 pub mod named_limit;
 pub mod overload;
--- a/crates/policy/src/slots.rs
+++ b/crates/policy/src/slots.rs
@@ -21,6 +21,7 @@
 
 use indexmap::IndexMap;
 
+use crate::demand::{Demand, EWMA_WEIGHT};
 use crate::named_limit::NamedLimit;
 use crate::{US_PER_MS, US_PER_S};
 
@@ -40,10 +41,6 @@
 const MIN_DECREASE_INTERVAL_US: u64 = 50 * US_PER_MS;
 /// Time in which the limit grows by all usable slots after a decrease, in microseconds.
 const LIMIT_RECOVERY_US: u64 = 3 * US_PER_S;
-/// Time constant of the arrival rate's exponential decay, in microseconds.
-const RATE_TIME_CONSTANT_US: f64 = US_PER_S as f64;
-/// Weight of a new sample in the moving average of service times.
-const EWMA_WEIGHT: f64 = 0.1;
 /// Service time assumed for a kind before its first answer, in microseconds.
 const DEFAULT_SERVICE_US: f64 = 100.0 * US_PER_MS as f64;
 /// Factor on the mean service time when checking whether a call can finish before its deadline.
@@ -190,37 +187,6 @@
     max_wait_us: u64,
 }
 
-/// Exponentially decaying arrival rate and mean service time, from which needed slots are
-/// estimated.
-#[derive(Debug, Default)]
-struct Demand {
-    rate_per_us: f64,
-    mean_service_us: f64,
-    updated_us: u64,
-}
-
-impl Demand {
-    fn record(&mut self, now_us: u64, service_us: f64) {
-        self.rate_per_us = self.rate(now_us) + 1.0 / RATE_TIME_CONSTANT_US;
-        self.updated_us = now_us;
-        self.mean_service_us += EWMA_WEIGHT * (service_us - self.mean_service_us);
-    }
-
-    fn rate(&self, now_us: u64) -> f64 {
-        let age_us = now_us.saturating_sub(self.updated_us) as f64;
-        self.rate_per_us * (-age_us / RATE_TIME_CONSTANT_US).exp()
-    }
-
-    /// Returns the number of slots to reserve for this demand.
-    ///
-    /// This is the mean number of busy slots by Little's law, minus one standard deviation of a
-    /// Poisson count so that reserved slots are seldom idle.
-    fn reserved_slots(&self, now_us: u64) -> f64 {
-        let mean = self.rate(now_us) * self.mean_service_us;
-        (mean - mean.sqrt()).max(0.0)
-    }
-}
-
 /// Admission controller for the slots of one upstream.
 #[derive(Debug)]
 pub struct SlotAdmission {
