--- a/crates/testbed/src/cluster.rs
+++ b/crates/testbed/src/cluster.rs
@@ -1,5 +1,6 @@
 //! Runs all processes of a small deployment on loopback addresses.
 
+mod error;
 mod plan;
 
 use std::fs;
@@ -8,9 +9,9 @@
 use std::time::Duration;
 
 use ctl::{CtlError, OperatorClient, read_profile_dir};
-use quick_error::quick_error;
 use tempfile::TempDir;
 
+pub use self::error::ClusterError;
 use self::plan::{CallMode, InstanceAddresses, InstancePlan, NodeListenAddresses, flags};
 use crate::deployment::Deployment;
 use crate::process::{Process, ProcessError, free_address, program_dir, wait_until};
@@ -26,32 +27,6 @@
 /// Operator token of every test cluster.
 pub const OPERATOR_TOKEN: &str = "testbed-operator";
 
-quick_error! {
-    /// Failure to start or stop a cluster.
-    #[derive(Debug)]
-    pub enum ClusterError {
-        /// A process could not be started, signalled or awaited.
-        Process(source: ProcessError) {
-            display("{}", source)
-            from()
-        }
-        /// An operator command failed.
-        Operator(source: CtlError) {
-            display("{}", source)
-            from()
-        }
-        /// A file could not be written, or a relay could not be started.
-        Io(source: std::io::Error) {
-            display("{}", source)
-            from()
-        }
-        /// A process ended with an exit status other than success.
-        Exit(name: String, status: std::process::ExitStatus) {
-            display("{} ended with {}", name, status)
-        }
-    }
-}
-
 /// A control replica and its addresses.
 #[derive(Debug)]
 pub struct ControlReplica {
@@ -140,9 +115,7 @@
     ///
     /// Returns an error if a process cannot be started or does not become ready.
     pub fn start_relayed(deployment: Deployment) -> Result<Self, ClusterError> {
-        let mut cluster = Self::new(deployment, None)?;
-        cluster.relays = Some(Relays::new()?);
-        cluster.start_all_controls()?;
+        let mut cluster = Self::start_relayed_controls(deployment)?;
         cluster.start_instances()?;
         Ok(cluster)
     }
