Measure what nodes without a quorum cost the replicas

cargo xtask slopes: nodes attached to replicas that are all cut off from each other and look for a current one.

--- a/xtask/src/slopes.rs
+++ b/xtask/src/slopes.rs
@@ -7,16 +7,18 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
+use control_link::{AttachedNode, ControlLink, LinkEvent};
 use hdrhistogram::Histogram;
 use prost::Message;
 use rpc::claims_client::ClaimsClient;
 use rpc::directory_client::DirectoryClient;
 use rpc::{ClaimRequest, ClaimStatus, ControlUpdate, Endpoint, NodeReport};
+use slog::{Discard, Logger, o};
 use testbed::cluster::Cluster;
 use testbed::deployment::Deployment;
 use testbed::process::wait_until;
 use tokio::runtime::Runtime;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio_stream::StreamExt;
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::transport::Channel;
@@ -24,6 +26,7 @@
 use crate::error::TaskError;
 
 const NODE_COUNTS: [usize; 4] = [50, 100, 200, 400];
+const SEARCHING_NODE_COUNTS: [usize; 3] = [30, 60, 120];
 const NODES_PER_SERVICE: usize = 9;
 const CALLED_SERVICES_PER_NODE: usize = 3;
 const CLAIM_CONCURRENCIES: [usize; 4] = [1, 16, 64, 256];
@@ -43,6 +46,9 @@
     let points: Result<Vec<NodePoint>, TaskError> =
         NODE_COUNTS.iter().map(|node_count| measure_nodes(&runtime, *node_count)).collect();
     print_slopes(&points?);
+    for node_count in SEARCHING_NODE_COUNTS {
+        measure_search(&runtime, node_count)?;
+    }
     for concurrency in CLAIM_CONCURRENCIES {
         measure_claims(&runtime, concurrency)?;
     }
@@ -132,6 +138,82 @@
     Ok(point)
 }
 
+/// Node that only counts the moves of its link.
+struct SearchingNode {
+    report: NodeReport,
+    replicas: Vec<SocketAddr>,
+    moves: Arc<AtomicU64>,
+}
+
+impl AttachedNode for SearchingNode {
+    fn control_addresses(&self) -> Vec<SocketAddr> {
+        self.replicas.clone()
+    }
+
+    fn report(&mut self) -> NodeReport {
+        self.report.clone()
+    }
+
+    fn apply_update(&mut self, _update: ControlUpdate) -> bool {
+        false
+    }
+
+    fn record_event(&mut self, event: LinkEvent) {
+        if event == LinkEvent::Moved {
+            self.moves.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+/// Measures what nodes cost the replicas while no replica has a quorum, because all are cut off from
+/// each other and nodes look for a current one.
+fn measure_search(runtime: &Runtime, node_count: usize) -> Result<(), TaskError> {
+    let cluster = Cluster::start_relayed_controls(Deployment::attica())?;
+    wait_until("there is a leader", START_TIMEOUT, || cluster.leader().is_some())?;
+    let links = cluster.links().ok_or(TaskError::Check("the cluster has no relays".to_owned()))?;
+    links.register_process(std::process::id(), "nodes");
+    let moves = Arc::new(AtomicU64::new(0));
+    let (_trigger, report_trigger) = watch::channel(0);
+    let (stop, stopped) = watch::channel(false);
+    for node_index in 0..node_count {
+        let mut replicas: Vec<SocketAddr> =
+            cluster.controls.iter().map(|control| control.address).collect();
+        replicas.rotate_left(node_index % cluster.controls.len());
+        let node = SearchingNode {
+            report: first_report(node_index, node_count),
+            replicas,
+            moves: Arc::clone(&moves),
+        };
+        let log = Logger::root(Discard, o!());
+        let link = ControlLink::new(log, node, report_trigger.clone(), stopped.clone());
+        runtime.spawn(link.run());
+    }
+    std::thread::sleep(MEASUREMENT_DURATION / 2);
+    let attached_cpu_percent = max_cpu_percent(&cluster);
+    let data_centres: Vec<&str> =
+        cluster.controls.iter().map(|control| control.data_centre.as_str()).collect();
+    data_centres.iter().for_each(|name| links.isolate(name, &data_centres));
+    std::thread::sleep(MEASUREMENT_DURATION / 2);
+    let searching_cpu_percent = max_cpu_percent(&cluster);
+    println!(
+        "searching nodes={node_count} replica_cpu_percent={searching_cpu_percent:.2} \
+         with_quorum={attached_cpu_percent:.2} moves={}",
+        moves.load(Ordering::Relaxed)
+    );
+    stop.send_replace(true);
+    Ok(())
+}
+
+/// Returns the CPU usage of the busiest replica over the measurement duration, in percent of a core.
+fn max_cpu_percent(cluster: &Cluster) -> f64 {
+    let usage = || cluster.controls.iter().map(|control| process_usage(control.process.pid()));
+    let before: Vec<ProcessUsage> = usage().collect();
+    std::thread::sleep(MEASUREMENT_DURATION);
+    let ticks =
+        before.iter().zip(usage()).map(|(before, after)| after.cpu_ticks - before.cpu_ticks);
+    ticks.fold(0.0, f64::max) / TICKS_PER_S / MEASUREMENT_DURATION.as_secs_f64() * 100.0
+}
+
 /// Totals over all simulated nodes.
 #[derive(Default)]
 struct NodeCounters {
