--- a/crates/testbed/tests/configuration_in_force.rs
+++ b/crates/testbed/tests/configuration_in_force.rs
@@ -4,7 +4,7 @@
 use std::fs;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
@@ -176,7 +176,12 @@
 }
 
 /// Runs `faults` while the configuration changes, and checks every node for every change.
+///
+/// One cluster exists at a time: the relays look up the source of each connection in `/proc`, and if
+/// several clusters do so at once a lookup takes longer than the timeouts of the programs.
 fn check_versions_in_time(faults: impl FnOnce(&mut Cluster, usize)) {
+    static CLUSTER_LOCK: Mutex<()> = Mutex::new(());
+    let _guard = CLUSTER_LOCK.lock().unwrap_or_else(PoisonError::into_inner);
     let cluster = Cluster::start_relayed_controls(Deployment::attica());
     let mut cluster = cluster.expect("the replicas start");
     wait_until("there is a leader", TIMEOUT, || cluster.leader().is_some()).expect("a quorum");
