Do not poll for a call that has a token of a named limit and waits for a slot

Cause: the next time to poll the queue was now for such a call, so that the queue was polled about a thousand times a second as long as all slots were taken. Change: only calls that wait for a token set the time; the release of a slot is an event of its own. Measured: call_that_has_a_token_and_waits_for_a_slot_is_not_polled_for fails before (next poll at once) and passes now.

--- a/crates/policy/src/slots.rs
+++ b/crates/policy/src/slots.rs
@@ -348,7 +348,9 @@
         let expiry_us = queued_calls.map(|queued_call| self.latest_start_us(queued_call)).min();
         let token_us = self.named_limit.as_ref().and_then(|named_limit| {
             let waiting = self.queues.iter().filter(|(_, queue)| !queue.is_empty());
-            waiting.map(|(priority, _)| now_us + named_limit.wait_us(now_us, *priority, 0, 0)).min()
+            let wait_us = waiting.map(|(priority, _)| named_limit.wait_us(now_us, *priority, 0, 0));
+            // A call that has a token waits for a slot, whose release is an event of its own.
+            wait_us.filter(|wait_us| *wait_us > 0).min().map(|wait_us| now_us + wait_us)
         });
         [expiry_us, token_us].into_iter().flatten().min()
     }
--- a/crates/policy/tests/named_limit.rs
+++ b/crates/policy/tests/named_limit.rs
@@ -273,3 +273,22 @@
     load.run(S, &[]);
     assert_eq!(load.slot_admission.load(load.now_us).limit, unlimited);
 }
+
+/// Otherwise the queue is polled without a pause while all slots are taken.
+#[test]
+fn call_that_has_a_token_and_waits_for_a_slot_is_not_polled_for() {
+    let mut slot_admission = SlotAdmission::new(1, 0);
+    slot_admission.set_named_limit(0, Some(100.0));
+    let request = |ticket| SlotRequest {
+        ticket,
+        priority: USUAL,
+        sequence: ticket as u32,
+        kind: 1,
+        deadline_us: 5 * S,
+        max_wait_us: 187 * MS,
+    };
+    assert_eq!(slot_admission.offer(0, request(1)).0, Decision::Admit);
+    assert_eq!(slot_admission.offer(50 * MS, request(2)).0, Decision::Queue);
+    let next_poll_us = slot_admission.next_poll_us(50 * MS);
+    assert!(next_poll_us.is_some_and(|at_us| at_us > 51 * MS), "{next_poll_us:?}");
+}
