--- a/crates/control/src/configuration_store.rs
+++ b/crates/control/src/configuration_store.rs
@@ -173,7 +173,9 @@
         channel: Channel,
     ) -> Result<Option<ConfigurationVersion>, StoreError> {
         let mut client = ConfigurationsClient::new(channel).max_decoding_message_size(usize::MAX);
-        let reply = self.call_leader(client.read(ReadConfigurationRequest {})).await?;
+        let reply = self
+            .call_leader(client.read(ReadConfigurationRequest { is_version_only: false }))
+            .await?;
         if !reply.is_confirmed {
             return Err(StoreError::NoQuorum);
         }
--- a/crates/control/src/service/configuration_service.rs
+++ b/crates/control/src/service/configuration_service.rs
@@ -42,14 +42,18 @@
 
     async fn read(
         &self,
-        _request: Request<ReadConfigurationRequest>,
+        request: Request<ReadConfigurationRequest>,
     ) -> Result<Response<ReadConfigurationReply>, Status> {
+        let is_version_only = request.into_inner().is_version_only;
         let reply = match self.store.propose_read().await {
             Ok(table) => ReadConfigurationReply {
                 is_confirmed: true,
-                configuration: table.current().map(|current| ConfigurationRecord {
-                    version: current.version,
-                    text: bytes::Bytes::copy_from_slice(&current.text),
+                version: table.version(),
+                configuration: table.current().filter(|_| !is_version_only).map(|current| {
+                    ConfigurationRecord {
+                        version: current.version,
+                        text: bytes::Bytes::copy_from_slice(&current.text),
+                    }
                 }),
             },
             Err(_) => ReadConfigurationReply::default(),
--- a/crates/control/src/service/replica_service.rs
+++ b/crates/control/src/service/replica_service.rs
@@ -6,8 +6,8 @@
 use rpc::replica_client::ReplicaClient;
 use rpc::replica_server::Replica;
 use rpc::{
-    DeliverReply, IdentifyRequest, JoinReply, JoinRequest, ReplicaIdentity, ReplicaMember,
-    ReplicaMessage, SyncDirectoryReply, SyncDirectoryRequest,
+    DeliverReply, IdentifyRequest, JoinReply, JoinRequest, LendQuotaReply, LendQuotaRequest,
+    ReplicaIdentity, ReplicaMember, ReplicaMessage, SyncDirectoryReply, SyncDirectoryRequest,
 };
 use slog::warn;
 use tokio::sync::oneshot;
@@ -114,6 +114,14 @@
         }
     }
 
+    async fn lend_quota(
+        &self,
+        request: Request<LendQuotaRequest>,
+    ) -> Result<Response<LendQuotaReply>, Status> {
+        self.context.check_cluster(&request.into_inner().cluster_id)?;
+        Ok(Response::new(LendQuotaReply::default()))
+    }
+
     async fn sync_directory(
         &self,
         request: Request<SyncDirectoryRequest>,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -2,6 +2,7 @@
 //! keepalive and the admin listener.
 
 mod admin;
+mod boot_clock;
 mod clock;
 mod keepalive;
 mod logs;
@@ -11,6 +12,7 @@
 
 pub use crate::{
     admin::{AdminError, AdminReply, AdminServer},
+    boot_clock::BootClock,
     clock::Clock,
     keepalive::{KeepaliveSettings, set_user_timeout},
     logs::logger,
--- a/crates/mesh/src/attachment.rs
+++ b/crates/mesh/src/attachment.rs
@@ -215,6 +215,7 @@
             called_services: self.called_services(),
             configuration_version: self.parts.configuration.version(),
             is_probe: false,
+            ..NodeReport::default()
         }
     }
 }
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -50,5 +50,5 @@
         UpstreamReport,
     },
     server::{MetricsError, ServerError, run},
-    settings::{MeshSettings, SettingsSource},
+    settings::{Balancing, FailureEvidence, MeshSettings, SettingsSource},
 };
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -4,6 +4,27 @@
 
 use model::{ServiceName, Vm};
 use policy::shared_retry_budget::RetryBounds;
+use serde::Deserialize;
+
+/// Which results of requests decide how many requests of a route a node admits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum FailureEvidence {
+    /// Results of the node's own requests.
+    Own,
+    /// Results at all nodes of the route's service, which they send with their answers.
+    Shared,
+}
+
+/// How a node chooses the VM of a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Balancing {
+    /// The less loaded of two random VMs by their last reports.
+    TwoChoices,
+    /// By an estimate of the load now, from reports, their age and the speed of each VM.
+    EstimatedLoad,
+}
 
 /// Settings of a mesh node.
 #[derive(Debug, Clone)]
@@ -33,6 +54,13 @@
     pub upstream_address: Option<SocketAddr>,
     /// Retry limits that apply to all nodes together.
     pub retry_bounds: RetryBounds,
+    /// Which results of requests decide how many requests of a route the node admits.
+    pub failure_evidence: FailureEvidence,
+    /// How the node chooses the VM of a call.
+    pub balancing: Balancing,
+    /// Maximum age of the last proof that the configuration is the newest one, for requests with a
+    /// key, in milliseconds. `None` if no proof is required.
+    pub max_configuration_age_ms: Option<u64>,
     /// Maximum duration of a graceful shutdown, in milliseconds.
     pub stop_timeout_ms: u64,
 }
--- a/crates/model/src/configuration.rs
+++ b/crates/model/src/configuration.rs
@@ -5,6 +5,7 @@
 use indexmap::{IndexMap, IndexSet};
 use quick_error::quick_error;
 
+use crate::client_account::{ClientAccount, KeyDigest};
 use crate::names::ServiceName;
 
 /// A route's latency objective may exceed its timeout by less than this, in milliseconds. A larger
@@ -39,6 +40,18 @@
         InvalidPathPrefix(route: Arc<str>, prefix: Arc<str>) {
             display("route {}: path prefix {:?} does not begin and end with a slash", route, prefix)
         }
+        /// The name of a client account is empty or belongs to two accounts.
+        InvalidAccountName(account: Arc<str>) {
+            display("client account {:?}: the name is empty or not unique", account)
+        }
+        /// Two keys are the same. The text does not contain the key.
+        DuplicateKey(account: Arc<str>) {
+            display("client account {}: a key is listed twice", account)
+        }
+        /// The rate or the burst of a quota is negative or not finite.
+        InvalidQuota(account: Arc<str>) {
+            display("client account {}: rate or burst is not a finite number of at least zero", account)
+        }
         /// The version is zero, a value reserved for the absence of a configuration.
         ZeroVersion {
             display("the version must be above zero")
@@ -55,6 +68,15 @@
     NonIdempotent,
 }
 
+/// Whether the requests of a route need the key of a client account.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RouteAccess {
+    /// Any caller may send requests.
+    Public,
+    /// Requests need a key if the configuration has client accounts.
+    Keyed,
+}
+
 /// A service that receives a share of a route's requests.
 #[derive(Debug, Clone, PartialEq)]
 pub struct RouteTarget {
@@ -75,6 +97,8 @@
     pub path_prefix: Arc<str>,
     /// Whether the requests may run more than once.
     pub idempotence: Idempotence,
+    /// Whether the requests need a key.
+    pub access: RouteAccess,
     /// Maximum time from a request to its answer, in milliseconds.
     pub timeout_ms: Option<u64>,
     /// Latency objective, in milliseconds: an answer that takes longer is late.
@@ -123,6 +147,8 @@
     health_paths: IndexMap<ServiceName, Arc<str>>,
     /// Routes of each host, longest prefix first.
     routes_by_host: IndexMap<Arc<str>, Vec<Arc<HostRoute>>>,
+    /// Client accounts by the digests of their keys. `None` if the configuration has no accounts.
+    accounts_by_key: Option<IndexMap<KeyDigest, Arc<ClientAccount>>>,
 }
 
 impl Configuration {
@@ -150,7 +176,48 @@
             routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
         }
         let health_paths = IndexMap::new();
-        Ok(Self { version, limits, services, health_paths, routes_by_host })
+        Ok(Self { version, limits, services, health_paths, routes_by_host, accounts_by_key: None })
+    }
+
+    /// Sets the client accounts. Requests on routes that are not public then need a key, also if
+    /// there is no account.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first error found; the configuration is rejected.
+    pub fn with_client_accounts(
+        self,
+        accounts: Vec<ClientAccount>,
+    ) -> Result<Self, ConfigurationError> {
+        let mut names = IndexSet::new();
+        let mut accounts_by_key = IndexMap::new();
+        for account in accounts {
+            let account = Arc::new(account);
+            let name = || Arc::clone(&account.name);
+            if account.name.is_empty() || !names.insert(name()) {
+                return Err(ConfigurationError::InvalidAccountName(name()));
+            }
+            let is_valid = |value: f64| value.is_finite() && value >= 0.0;
+            if account.quota.is_some_and(|q| !is_valid(q.rate_per_s) || !is_valid(q.burst)) {
+                return Err(ConfigurationError::InvalidQuota(name()));
+            }
+            for digest in &account.key_digests {
+                if accounts_by_key.insert(*digest, Arc::clone(&account)).is_some() {
+                    return Err(ConfigurationError::DuplicateKey(name()));
+                }
+            }
+        }
+        Ok(Self { accounts_by_key: Some(accounts_by_key), ..self })
+    }
+
+    /// Returns whether the configuration has client accounts.
+    pub fn has_client_accounts(&self) -> bool {
+        self.accounts_by_key.is_some()
+    }
+
+    /// Returns the client account that a key selects.
+    pub fn account_by_key(&self, digest: &KeyDigest) -> Option<&Arc<ClientAccount>> {
+        self.accounts_by_key.as_ref()?.get(digest)
     }
 
     /// Sets the paths at which upstreams answer health checks, by service.
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -4,6 +4,7 @@
 //! This crate does no I/O.
 
 mod class;
+mod client_account;
 mod configuration;
 mod context;
 pub mod headers;
@@ -15,8 +16,10 @@
 
 pub use crate::{
     class::{Class, ParseClassError},
+    client_account::{ClientAccount, KeyDigest, Quota},
     configuration::{
-        CallerLimits, Configuration, ConfigurationError, HostRoute, Idempotence, RouteTarget,
+        CallerLimits, Configuration, ConfigurationError, HostRoute, Idempotence, RouteAccess,
+        RouteTarget,
     },
     context::{CallContext, ContextError, RequestId},
     names::{DataCentreName, NameError, ProfileName, RouteName, ServiceName, VmName},
--- a/crates/model/src/outcome.rs
+++ b/crates/model/src/outcome.rs
@@ -119,6 +119,14 @@
     AnswerNotKept = "answer-not-kept", 409, false;
     /// The request is quarantined because it crashed upstreams.
     Quarantined = "quarantined", 422, false;
+    /// The request has no key of a client account, or an unknown one.
+    UnknownAccount = "unknown-account", 401, false;
+    /// The quota of the client account is used up.
+    QuotaExceeded = "quota-exceeded", 429, false;
+    /// The node cannot prove that its configuration is recent enough to accept keys.
+    ConfigurationUnproven = "configuration-unproven", 503, false;
+    /// The node holds no share of the client account's quota and received none in time.
+    QuotaUnavailable = "quota-unavailable", 503, false;
     /// The request head is malformed.
     BadRequest = "bad-request", 400, false;
     /// The request body exceeds its size limit.
--- a/crates/node/src/control_link.rs
+++ b/crates/node/src/control_link.rs
@@ -100,6 +100,7 @@
             called_services,
             configuration_version: 0,
             is_probe: false,
+            ..NodeReport::default()
         }
     }
 }
--- a/crates/rpc/src/generated.rs
+++ b/crates/rpc/src/generated.rs
@@ -207,6 +207,66 @@
     /// and does not record the node. Older replicas ignore the field and attach the node.
     #[prost(bool, tag = "9")]
     pub is_probe: bool,
+    /// When the node made the report, in microseconds on its clock, which also counts suspended time.
+    /// Zero if the node asks neither for a freshness proof nor for quota.
+    #[prost(uint64, tag = "10")]
+    pub created_boot_us: u64,
+    /// Whether the node asks for freshness proofs.
+    #[prost(bool, tag = "11")]
+    pub wants_freshness_proof: bool,
+    /// Start time of the node process; orders its reports across restarts.
+    #[prost(uint64, tag = "12")]
+    pub incarnation: u64,
+    /// Accounts with a quota for which requests arrived at the node or which it still holds a share of.
+    #[prost(message, repeated, tag = "13")]
+    pub quota_demands: ::prost::alloc::vec::Vec<QuotaDemand>,
+}
+/// Need of one node for a share of the quota of a client account.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct QuotaDemand {
+    #[prost(string, tag = "1")]
+    pub account: ::prost::alloc::string::String,
+    /// Share of the quota that the node could use now; above one if one node wants more than the quota.
+    #[prost(double, tag = "2")]
+    pub wanted_share: f64,
+    /// Share that the node holds now and will not exceed until it receives another grant.
+    #[prost(double, tag = "3")]
+    pub held_share: f64,
+    /// Rate of the quota divided by its burst, per second: the reciprocal of the time in which an empty
+    /// quota refills.
+    #[prost(double, tag = "4")]
+    pub refill_per_s: f64,
+}
+/// Share of the quota of a client account, lent to one node.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct QuotaGrant {
+    #[prost(string, tag = "1")]
+    pub account: ::prost::alloc::string::String,
+    #[prost(double, tag = "2")]
+    pub share: f64,
+    /// Part of the burst that the node may use at once, as a fraction of the account's burst.
+    #[prost(double, tag = "3")]
+    pub initial_burst_share: f64,
+}
+/// Grants that answer one report of a node. A grant replaces the share that the node held; an account
+/// that is not listed keeps its share until the loan expires.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct QuotaGrants {
+    /// Copied from the report. The loans end a fixed time after it.
+    #[prost(uint64, tag = "1")]
+    pub report_created_boot_us: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub grants: ::prost::alloc::vec::Vec<QuotaGrant>,
+}
+/// Proof that a configuration was the newest when a node made a report.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct FreshnessProof {
+    /// Copied from the report.
+    #[prost(uint64, tag = "1")]
+    pub report_created_boot_us: u64,
+    /// No configuration with a higher version was acknowledged before the node made the report.
+    #[prost(uint64, tag = "2")]
+    pub configuration_version: u64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct ControlUpdate {
@@ -232,6 +292,12 @@
     /// replica is of an older version.
     #[prost(uint64, tag = "9")]
     pub replica_configuration_version: u64,
+    /// Present if the node asked for it and the replica has a proof that it has not sent yet.
+    #[prost(message, optional, tag = "10")]
+    pub freshness_proof: ::core::option::Option<FreshnessProof>,
+    /// Present if the leader answered a demand of the node.
+    #[prost(message, optional, tag = "11")]
+    pub quota_grants: ::core::option::Option<QuotaGrants>,
 }
 /// The newest accepted configuration.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -269,14 +335,21 @@
     pub version: u64,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct ReadConfigurationRequest {}
+pub struct ReadConfigurationRequest {
+    /// Whether the reply contains the version only. Older replicas ignore the field.
+    #[prost(bool, tag = "1")]
+    pub is_version_only: bool,
+}
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ReadConfigurationReply {
     #[prost(bool, tag = "1")]
     pub is_confirmed: bool,
-    /// Absent until the first configuration is accepted.
+    /// Absent until the first configuration is accepted, and in replies with the version only.
     #[prost(message, optional, tag = "2")]
     pub configuration: ::core::option::Option<ConfigurationRecord>,
+    /// Version of the newest accepted configuration; zero if there is none.
+    #[prost(uint64, tag = "3")]
+    pub version: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ClaimRequest {
@@ -428,6 +501,41 @@
     #[prost(message, repeated, tag = "1")]
     pub replicas: ::prost::alloc::vec::Vec<ReplicaStatus>,
 }
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct LendQuotaRequest {
+    #[prost(string, tag = "1")]
+    pub cluster_id: ::prost::alloc::string::String,
+    #[prost(message, repeated, tag = "2")]
+    pub nodes: ::prost::alloc::vec::Vec<NodeQuotaDemands>,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct NodeQuotaDemands {
+    #[prost(string, tag = "1")]
+    pub vm: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    #[prost(uint64, tag = "3")]
+    pub created_boot_us: u64,
+    #[prost(message, repeated, tag = "4")]
+    pub demands: ::prost::alloc::vec::Vec<QuotaDemand>,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct LendQuotaReply {
+    /// Whether the replica led the cluster after it had received the request.
+    #[prost(bool, tag = "1")]
+    pub is_confirmed: bool,
+    #[prost(message, repeated, tag = "2")]
+    pub nodes: ::prost::alloc::vec::Vec<NodeQuotaGrants>,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct NodeQuotaGrants {
+    #[prost(string, tag = "1")]
+    pub vm: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    #[prost(message, optional, tag = "3")]
+    pub grants: ::core::option::Option<QuotaGrants>,
+}
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ReplicaMessage {
     #[prost(string, tag = "1")]
@@ -2771,6 +2879,28 @@
                 .insert(GrpcMethod::new("heatherweir.v1.Replica", "SyncDirectory"));
             self.inner.unary(req, path, codec).await
         }
+        /// Asks the leader for quota on behalf of the nodes that are attached to a replica.
+        pub async fn lend_quota(
+            &mut self,
+            request: impl tonic::IntoRequest<super::LendQuotaRequest>,
+        ) -> std::result::Result<tonic::Response<super::LendQuotaReply>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/heatherweir.v1.Replica/LendQuota",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("heatherweir.v1.Replica", "LendQuota"));
+            self.inner.unary(req, path, codec).await
+        }
     }
 }
 /// Generated server implementations.
@@ -2807,6 +2937,11 @@
             tonic::Response<super::SyncDirectoryReply>,
             tonic::Status,
         >;
+        /// Asks the leader for quota on behalf of the nodes that are attached to a replica.
+        async fn lend_quota(
+            &self,
+            request: tonic::Request<super::LendQuotaRequest>,
+        ) -> std::result::Result<tonic::Response<super::LendQuotaReply>, tonic::Status>;
     }
     /// Traffic between control replicas.
     #[derive(Debug)]
@@ -3063,6 +3198,49 @@
                     };
                     Box::pin(fut)
                 }
+                "/heatherweir.v1.Replica/LendQuota" => {
+                    #[allow(non_camel_case_types)]
+                    struct LendQuotaSvc<T: Replica>(pub Arc<T>);
+                    impl<T: Replica> tonic::server::UnaryService<super::LendQuotaRequest>
+                    for LendQuotaSvc<T> {
+                        type Response = super::LendQuotaReply;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::LendQuotaRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Replica>::lend_quota(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = LendQuotaSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 _ => {
                     Box::pin(async move {
                         let mut response = http::Response::new(
--- a/xtask/src/slopes.rs
+++ b/xtask/src/slopes.rs
@@ -297,6 +297,7 @@
         configuration_version: 0,
         is_probe: false,
         called_services: (0..=CALLED_SERVICES_PER_NODE).map(service).collect(),
+        ..NodeReport::default()
     }
 }
 
