Serve requests on behalf of client accounts

Cause: callers send requests for the operator's customers, and nothing told them apart: any caller could use any route and claim any account.

A request on a route that is not public needs a known key; others get 401, and calls of upstreams whose parent is unknown get 503. The entry node removes the key and the claimed name, and the name of the account travels with the call on an internal header and through the running parent request. `admit_account` looks the key up again right before the dispatch, since a slow body would otherwise let a withdrawn key be used. Runs that share a request id are counted, because the end of one made the calls of the other unknown.

The new behaviour has no tests yet; they follow.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -8,6 +8,7 @@
 mod configuration_store;
 pub mod configurations;
 pub mod directory;
+mod distribution;
 mod formation;
 pub mod membership;
 mod peers;
@@ -21,6 +22,7 @@
 
 pub use crate::{
     configuration_store::{ConfigurationStore, PutAnswer, StoreError},
+    distribution::{DocumentRewriter, RewriteError, distribute_unchanged},
     server::{ServerError, run, run_with},
     settings::{Formation, MemberAddress, Settings, SettingsError, command},
 };
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -17,6 +17,7 @@
 
 use crate::configuration_store::ConfigurationStore;
 use crate::directory::Directory;
+use crate::distribution::{DocumentRewriter, distribute_unchanged};
 use crate::formation;
 use crate::peers::{self, PeerStreams};
 use crate::replica::{self, Input, ReplicaError, ReplicaHandle};
@@ -73,11 +74,12 @@
 ///
 /// Returns an error if the files are unusable, a listener cannot be bound or the replica fails.
 pub async fn run(log: Logger, settings: Settings) -> Result<(), ServerError> {
-    run_with(log, settings, |_| std::future::ready(())).await
+    run_with(log, settings, distribute_unchanged, |_| std::future::ready(())).await
 }
 
 /// Runs a replica as [`run`] does, and with it the future that `serve_operators` returns, such as a
-/// listener through which operators change the configuration.
+/// listener through which operators change the configuration. Nodes receive documents as
+/// `rewrite_document` returns them.
 ///
 /// # Errors
 ///
@@ -85,6 +87,7 @@
 pub async fn run_with<F>(
     log: Logger,
     settings: Settings,
+    rewrite_document: DocumentRewriter,
     serve_operators: impl FnOnce(ConfigurationStore) -> F,
 ) -> Result<(), ServerError>
 where
@@ -114,7 +117,8 @@
         election_timeout_us,
     )?;
     let (stop_sender, stop) = watch::channel(false);
-    let context = ServiceContext::new(log.clone(), clock, settings.clone(), replica.clone(), stop);
+    let context = ServiceContext::new(log.clone(), clock, settings.clone(), replica.clone(), stop)
+        .with_document_rewriter(rewrite_document);
     let admin = start_admin(&settings, &context)?;
     info!(log, "control-started"; "replica" => %id, "listen" => %listener.local_addr()?,
         "admin" => %admin.address(), "data_centre" => %settings.data_centre);
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -6,6 +6,7 @@
 mod profile_service;
 mod replica_service;
 
+use std::fmt::Display;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -26,6 +27,7 @@
 use crate::configuration_store::ConfigurationStore;
 use crate::configurations::ConfigurationVersion;
 use crate::directory::Directory;
+use crate::distribution::{DocumentRewriter, distribute_unchanged};
 use crate::peers::Channels;
 use crate::replica::ReplicaHandle;
 use crate::settings::Settings;
@@ -46,8 +48,17 @@
     pub(crate) directory_revision: watch::Sender<u64>,
     pub(crate) stop: watch::Receiver<bool>,
     pub(crate) channels: Arc<Channels>,
-    /// Cached newest configuration, compressed as nodes receive it.
-    packed_configuration: Arc<Mutex<PackedConfiguration>>,
+    rewrite_document: DocumentRewriter,
+    packed_configuration: Arc<Mutex<PackedVersion>>,
+}
+
+/// Cached newest configuration, rewritten and compressed as nodes receive it.
+#[derive(Default)]
+struct PackedVersion {
+    version: u64,
+    /// `None` if the configuration could not be rewritten or compressed. Kept, so that the failure is
+    /// logged once and not for each update of each node.
+    packed: Option<PackedConfiguration>,
 }
 
 impl ServiceContext {
@@ -68,10 +79,16 @@
             directory_revision: watch::channel(first_revision).0,
             stop,
             channels: Arc::new(Channels::default()),
+            rewrite_document: distribute_unchanged,
             packed_configuration: Arc::default(),
         }
     }
 
+    /// Sets the form in which nodes receive the configuration.
+    pub(crate) fn with_document_rewriter(self, rewrite_document: DocumentRewriter) -> Self {
+        Self { rewrite_document, ..self }
+    }
+
     pub(crate) fn directory(&self) -> MutexGuard<'_, Directory> {
         self.directory.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -86,24 +103,28 @@
         });
     }
 
-    /// Returns a configuration as nodes receive it, `None` if the compression fails. It is
-    /// compressed once and cached for all nodes.
+    /// Returns a configuration as nodes receive it, `None` if it cannot be rewritten or compressed.
+    /// It is rewritten and compressed once and cached for all nodes.
     pub(crate) fn packed_configuration(
         &self,
         current: &ConfigurationVersion,
     ) -> Option<PackedConfiguration> {
         let mut cached = self.packed_configuration.lock().unwrap_or_else(PoisonError::into_inner);
         if cached.version != current.version {
-            match PackedConfiguration::pack(current.version, &current.text) {
-                Ok(packed) => *cached = packed,
-                Err(error) => {
-                    error!(self.log, "configuration-packing-failed"; "version" => current.version,
-                        "error" => %error);
-                    return None;
-                }
-            }
+            *cached = PackedVersion { version: current.version, packed: self.pack(current) };
         }
-        Some(cached.clone())
+        cached.packed.clone()
+    }
+
+    fn pack(&self, current: &ConfigurationVersion) -> Option<PackedConfiguration> {
+        let log_failure = |error: &dyn Display| {
+            error!(self.log, "configuration-packing-failed"; "version" => current.version,
+                "error" => %error);
+        };
+        let text = (self.rewrite_document)(&current.text);
+        let text = text.inspect_err(|error| log_failure(error)).ok()?;
+        let packed = PackedConfiguration::pack(current.version, &text);
+        packed.inspect_err(|error| log_failure(error)).ok()
     }
 
     /// Returns a channel to the leader, `None` if this replica is the leader or the address of the
--- a/crates/mesh/src/attachment.rs
+++ b/crates/mesh/src/attachment.rs
@@ -113,6 +113,12 @@
         self.parts.ingress.restore_upstream(report, process.limit_per_s);
     }
 
+    fn client_account_count(&self) -> i64 {
+        let active = self.parts.configuration.load();
+        let count = active.map_or(0, |active| active.configuration.client_account_count());
+        i64::try_from(count).unwrap_or(i64::MAX)
+    }
+
     fn called_services(&self) -> Vec<String> {
         let active = self.parts.configuration.load();
         let services = active.iter().flat_map(|active| active.configuration.services());
@@ -169,6 +175,7 @@
             update.configuration.is_some_and(|packed| self.apply_configuration(&packed));
         let version = i64::try_from(self.parts.configuration.version()).unwrap_or(i64::MAX);
         metrics.configuration_version.set(version);
+        metrics.client_accounts.set(self.client_account_count());
         is_applied
     }
 
--- a/crates/mesh/src/call.rs
+++ b/crates/mesh/src/call.rs
@@ -14,6 +14,8 @@
     pub(crate) service: ServiceName,
     /// Service of the VM that the call comes from.
     pub(crate) caller: Arc<str>,
+    /// Name of the client account of the request that the call serves. `None` without one.
+    pub(crate) account: Option<Arc<str>>,
     pub(crate) method: Method,
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
@@ -36,6 +38,12 @@
 }
 
 impl CallHead {
+    /// Returns the name of the client account that the upstream is told. Calls of upstreams have an
+    /// account, but the upstream is not told.
+    pub(crate) fn announced_account(&self) -> Option<&str> {
+        self.account.as_deref().filter(|_| !self.priority.is_in_progress())
+    }
+
     /// Returns the request id for logs, or `-` if there is none.
     pub(crate) fn id_text(&self) -> &str {
         let id = self.request_id.as_ref().and_then(|id| id.to_str().ok());
--- a/crates/mesh/src/caller_listener.rs
+++ b/crates/mesh/src/caller_listener.rs
@@ -7,13 +7,16 @@
 
 use http::request::Parts;
 use http::{HeaderName, HeaderValue, Request, Response, StatusCode, Uri, header};
-use model::{CallerLimits, Configuration, HostRoute, Outcome, Reason, ServiceName, headers};
+use model::{
+    CallerLimits, Configuration, HostRoute, KeyDigest, Outcome, Reason, ServiceName, headers,
+};
 use policy::US_PER_MS;
 use policy::overload::RequestEnd;
 use policy::retry_after;
 use policy::slots::CallPriority;
 use slog::info;
 
+use crate::account_access::{ParentLookup, RequestOrigin, account_with_key};
 use crate::body::{AnswerBody, BodyError, CallBody};
 use crate::broken_answers::BreakReporter;
 use crate::call::{self, CallHead};
@@ -26,7 +29,6 @@
 use crate::ingress::Answer;
 use crate::protocol_adapter::{ProtocolAdapter, RequestMetadata};
 use crate::request_throttles::{NewRequest, RequestThrottles};
-use crate::running_requests::ParentRequest;
 
 /// Timeout of a request if neither the caller nor the route sets one, in milliseconds. Also the
 /// maximum time that a call of a request in progress may wait for a slot.
@@ -69,7 +71,12 @@
         let route = find_route(&active.configuration, &parts, limits)?;
         let service =
             active.next_service(route).ok_or_else(|| CallFailure::not_run(Reason::UnknownRoute))?;
-        let head = self.call_head(parts, metadata, route, service, started_us);
+        let origin = self.origin(&active.configuration, route, &parts, metadata)?;
+        let mut head = self.call_head(parts, metadata, route, service, &origin, started_us);
+        if active.configuration.has_client_accounts() {
+            self.adapter.remove_account_headers(&mut head.headers);
+        }
+        let account = head.account.clone();
         let remaining_us = head.deadline_us.saturating_sub(started_us);
         let read = CallBody::read(incoming, limits.max_body_bytes);
         let body = tokio::time::timeout(Duration::from_micros(remaining_us), read).await;
@@ -83,9 +90,15 @@
         let result = match head.priority {
             CallPriority::InProgress(_) => self.run_in_progress(head, body, route).await,
             CallPriority::NewRequest(priority_level) => {
-                self.run_new(head, body, route, priority_level, remote).await
+                let request = NewRequest {
+                    kind: head.kind,
+                    priority_level,
+                    caller: caller_digest(&head, remote),
+                };
+                self.run_new(head, body, route, request, origin.key()).await
             }
         };
+        let result = result.map_err(|failure| failure.with_account(account));
         let elapsed_us = self.dispatcher.clock.now_us().saturating_sub(started_us);
         if result.is_ok()
             && route.objective_latency_ms.is_some_and(|ms| elapsed_us > ms * US_PER_MS)
@@ -95,28 +108,47 @@
         result
     }
 
+    /// Determines the sender of a request.
+    fn origin(
+        &self,
+        configuration: &Configuration,
+        route: &HostRoute,
+        parts: &Parts,
+        metadata: &RequestMetadata,
+    ) -> Result<RequestOrigin, CallFailure> {
+        let ingress = &self.dispatcher.ingress;
+        let parent = match &metadata.request_id {
+            Some(id) if self.adapter.parent_id(id).is_some() => {
+                let running = ingress.parent_request(id);
+                running.map_or(ParentLookup::Unknown, ParentLookup::Running)
+            }
+            _ => ParentLookup::Absent,
+        };
+        let read_key = || self.adapter.read_account_key(&parts.headers);
+        RequestOrigin::new(configuration, route, parent, read_key)
+    }
+
     fn call_head(
         &self,
         parts: Parts,
         metadata: &RequestMetadata,
         route: &HostRoute,
         service: ServiceName,
+        origin: &RequestOrigin,
         started_us: u64,
     ) -> CallHead {
         let ingress = &self.dispatcher.ingress;
-        let parent_request = metadata.request_id.as_ref().and_then(|id| ingress.parent_request(id));
-        let is_repeat = parent_request.is_some_and(|parent| parent.is_repeat);
-        let (priority, sequence) = match parent_request {
-            Some(ParentRequest { priority_level, sequence, .. }) => {
-                (CallPriority::InProgress(priority_level), sequence)
-            }
-            None => (CallPriority::NewRequest(route.priority), rand::random()),
+        let (is_repeat, sequence) = match origin {
+            RequestOrigin::Upstream(parent) => (parent.is_repeat, parent.sequence),
+            RequestOrigin::Account { .. } | RequestOrigin::Anonymous => (false, rand::random()),
         };
+        let priority = origin.priority(route);
         let caller = ingress.upstream_state.service();
         let caller = caller.unwrap_or_else(|| self.expected_upstream.identity().service);
         CallHead {
             service,
             caller: Arc::from(caller.as_str()),
+            account: origin.account_name(),
             method: parts.method,
             uri: origin_form(parts.uri),
             headers: forwarded_headers(parts.headers, self.adapter.end_to_end_headers()),
@@ -184,19 +216,22 @@
     /// the services that this one calls.
     async fn run_new(
         &self,
-        head: CallHead,
+        mut head: CallHead,
         body: CallBody,
         route: &HostRoute,
-        priority_level: u32,
-        remote: SocketAddr,
+        request: NewRequest,
+        key: Option<KeyDigest>,
     ) -> Result<Answer, CallFailure> {
-        let kind = head.kind;
-        let request = NewRequest { kind, priority_level, caller: caller_digest(&head, remote) };
+        let kind = request.kind;
         let now_us = self.dispatcher.clock.now_us();
         let overload = self.dispatcher.endpoints.overload(now_us, &head.service);
         self.throttles
             .admit(request, overload)
             .map_err(|wait| CallFailure::not_run(Reason::ShedByLevel).with_expected_wait(wait))?;
+        // After the throttle, so that a request that it refuses does not use up the quota.
+        if let Some(key) = key {
+            self.admit_account(&mut head, key).await?;
+        }
         let result = self.dispatcher.run(head, body, route.max_attempts).await;
         let end = match &result {
             Ok(answer) if answer.lacked_capacity => RequestEnd::LackedCapacity,
@@ -209,12 +244,40 @@
         result
     }
 
+    /// Checks right before the dispatch of a request with a key that its client account may send it.
+    ///
+    /// The key is looked up again, since the configuration may have changed while the body was read.
+    /// With the account found earlier, a slow body would let a key be used long after it was
+    /// withdrawn. The proof that the configuration is recent must precede the lookup, so that it
+    /// covers the configuration that the lookup reads.
+    ///
+    /// # Errors
+    ///
+    /// Returns a failure if no account has the key any more.
+    async fn admit_account(&self, head: &mut CallHead, key: KeyDigest) -> Result<(), CallFailure> {
+        let active = self.configuration.load();
+        let active = active.filter(|active| active.configuration.has_client_accounts());
+        let Some(active) = active else { return Ok(()) };
+        let account = account_with_key(&active.configuration, &key)?;
+        head.account = Some(Arc::clone(&account.name));
+        Ok(())
+    }
+
+    /// Counts a request that needs a key and has no known one.
+    fn count_refused_key(&self, failure: &CallFailure) {
+        match failure.reason {
+            Reason::UnknownAccount => self.dispatcher.metrics.unknown_account.inc(),
+            Reason::UnknownParent => self.dispatcher.metrics.unknown_parent.inc(),
+            _ => {}
+        }
+    }
+
     fn log_failure(&self, metadata: &RequestMetadata, failure: &CallFailure, elapsed_us: u64) {
         let metrics = &self.dispatcher.metrics;
         let Some(log) = self.dispatcher.request_log.rate_limited_logger(metrics) else { return };
         info!(log, "request-failed"; "request" => id_text(metadata),
             "reason" => failure.reason.as_str(), "outcome" => failure.outcome.as_str(),
-            "status" => failure.status().as_u16(),
+            "status" => failure.status().as_u16(), "account" => failure.account.as_deref(),
             "wait_ms" => failure.expected_wait.as_millis() as u64,
             "elapsed_ms" => elapsed_us / US_PER_MS,
             "configuration" => self.configuration.version());
@@ -247,7 +310,7 @@
             headers.insert(OUTCOME, HeaderValue::from_static(failure.outcome.as_str()));
             headers.insert(REASON, HeaderValue::from_static(failure.reason.as_str()));
         }
-        if status == StatusCode::SERVICE_UNAVAILABLE {
+        if matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS) {
             let wait = retry_after::mesh_delay(failure.expected_wait, rand::random());
             self.adapter.write_retry_after(headers, wait);
         }
@@ -296,6 +359,7 @@
                     Outcome::NotRun => dispatcher.metrics.not_run.inc(),
                     _ => dispatcher.metrics.outcome_unknown.inc(),
                 }
+                self.count_refused_key(&failure);
                 self.log_failure(&metadata, &failure, elapsed_us);
                 self.failure_response(&metadata, &failure)
             }
--- a/crates/mesh/src/failure.rs
+++ b/crates/mesh/src/failure.rs
@@ -1,5 +1,6 @@
 //! Failed calls and their mapping to HTTP status codes.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use http::StatusCode;
@@ -15,6 +16,8 @@
     /// Whether the call may have reached an upstream. Such an attempt counts towards the maximum
     /// number of attempts, and its retry is charged to the retry budget.
     pub(crate) has_reached_upstream: bool,
+    /// Client account of the call, for the log. `None` if it is unknown or there is none.
+    pub(crate) account: Option<Arc<str>>,
 }
 
 impl CallFailure {
@@ -25,6 +28,7 @@
             reason,
             expected_wait: Duration::ZERO,
             has_reached_upstream: false,
+            account: None,
         }
     }
 
@@ -35,6 +39,7 @@
             reason,
             expected_wait: Duration::ZERO,
             has_reached_upstream: true,
+            account: None,
         }
     }
 
@@ -42,6 +47,10 @@
         Self { expected_wait, ..self }
     }
 
+    pub(crate) fn with_account(self, account: Option<Arc<str>>) -> Self {
+        Self { account, ..self }
+    }
+
     /// Marks the failure of a call that an upstream received.
     pub(crate) fn reached_upstream(self) -> Self {
         Self { has_reached_upstream: true, ..self }
--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -408,6 +408,7 @@
             remaining_time: remaining,
             instance_id: &upstream.instance_id,
             caller: &head.caller,
+            account: head.announced_account(),
         };
         let mut request = Request::new(body);
         *request.method_mut() = head.method.clone();
@@ -423,6 +424,7 @@
             priority_level: head.priority.level(),
             sequence: head.sequence,
             is_repeat: head.is_repeat,
+            account: head.account.clone(),
         };
         let running_guard = RunningRequests::register(
             &self.running_requests,
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -8,6 +8,7 @@
 //! The replicated control service distributes the configuration and the endpoints of the VMs to the
 //! nodes. A [`ProtocolAdapter`] defines header names, document formats and upstream notifications.
 
+mod account_access;
 mod attachment;
 mod body;
 mod broken_answers;
@@ -45,9 +46,9 @@
 pub use crate::{
     metrics::metric_names,
     protocol_adapter::{
-        Announcement, AnswerAnnouncements, AnswerClassification, DispatchMetadata, DocumentError,
-        InstanceId, ProtocolAdapter, RequestMetadata, UpstreamNotification, UpstreamPhase,
-        UpstreamReport,
+        AccountKey, Announcement, AnswerAnnouncements, AnswerClassification, DispatchMetadata,
+        DocumentError, InstanceId, ProtocolAdapter, RequestMetadata, UpstreamNotification,
+        UpstreamPhase, UpstreamReport,
     },
     server::{MetricsError, ServerError, run},
     settings::{Balancing, FailureEvidence, MeshSettings, SettingsSource},
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -52,6 +52,9 @@
     pub(crate) control_lost: IntCounter,
     pub(crate) control_content_age_ms: IntGauge,
     pub(crate) configuration_version: IntGauge,
+    pub(crate) client_accounts: IntGauge,
+    pub(crate) unknown_account: IntCounter,
+    pub(crate) unknown_parent: IntCounter,
     pub(crate) upstream_limit_per_s: Gauge,
     pub(crate) upstream_reported_slots: IntGauge,
     pub(crate) announcements_ignored: IntCounter,
@@ -143,6 +146,18 @@
                 "configuration_version",
                 "Version of the configuration in force",
             )?,
+            client_accounts: gauge(
+                "client_accounts",
+                "Client accounts of the configuration in force",
+            )?,
+            unknown_account: counter(
+                "unknown_account_total",
+                "Requests refused without a key or with an unknown one",
+            )?,
+            unknown_parent: counter(
+                "unknown_parent_total",
+                "Calls without a key refused because their parent request is unknown",
+            )?,
             upstream_limit_per_s,
             upstream_reported_slots: gauge(
                 "upstream_reported_slots",
--- a/crates/mesh/src/peer.rs
+++ b/crates/mesh/src/peer.rs
@@ -32,6 +32,9 @@
 const CALL: HeaderName = HeaderName::from_static("heatherweir-call");
 /// Service of the VM that the call comes from.
 const CALLER: HeaderName = HeaderName::from_static("heatherweir-caller");
+/// Name of the client account of the request that the call serves, in UTF-8. Absent without one.
+/// Nodes of older versions ignore it.
+const ACCOUNT: HeaderName = HeaderName::from_static("heatherweir-account");
 /// Fields of a node's load, separated by spaces: calls in flight, queued calls, limit, whether the
 /// node is leaving, and overload probability in thousandths.
 const LOAD: HeaderName = HeaderName::from_static("heatherweir-load");
@@ -203,6 +206,9 @@
     headers.insert(SERVICE, HeaderValue::try_from(head.service.as_str()).ok()?);
     headers.insert(CALLER, HeaderValue::try_from(&*head.caller).ok()?);
     headers.insert(CALL, HeaderValue::try_from(call).ok()?);
+    if let Some(account) = &head.account {
+        headers.insert(ACCOUNT, HeaderValue::from_bytes(account.as_bytes()).ok()?);
+    }
     *request.headers_mut() = headers;
     Some(request)
 }
@@ -218,6 +224,7 @@
     };
     let service = ServiceName::new(text(&SERVICE)?).map_err(|_| CallHeaderError::Malformed)?;
     let caller = Arc::from(text(&CALLER)?);
+    let account = decode_account(&parts.headers)?;
     let mut fields = text(&CALL)?.split(' ');
     if fields.next() != Some(VERSION) {
         return Err(CallHeaderError::Version);
@@ -247,6 +254,7 @@
     Ok(CallHead {
         service,
         caller,
+        account,
         method: parts.method,
         uri: parts.uri,
         request_id,
@@ -261,6 +269,12 @@
     })
 }
 
+fn decode_account(headers: &HeaderMap) -> Result<Option<Arc<str>>, CallHeaderError> {
+    let Some(value) = headers.get(ACCOUNT) else { return Ok(None) };
+    let name = std::str::from_utf8(value.as_bytes()).map_err(|_| CallHeaderError::Malformed)?;
+    Ok(Some(Arc::from(name)))
+}
+
 fn encode_load(load: NodeLoad) -> HeaderValue {
     let PlacementLoad { in_flight, queued, limit } = load.placement;
     let is_leaving = u8::from(load.is_leaving);
@@ -307,5 +321,6 @@
         reason,
         expected_wait: Duration::from_micros(wait_us),
         has_reached_upstream,
+        account: None,
     })
 }
--- a/crates/mesh/src/protocol_adapter.rs
+++ b/crates/mesh/src/protocol_adapter.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
-use model::{Configuration, ConfigurationError, ServiceName};
+use model::{Configuration, ConfigurationError, KeyDigest, ServiceName};
 use policy::reported_load::ReportedLoad;
 use quick_error::quick_error;
 
@@ -42,6 +42,17 @@
     pub remaining_time: Option<Duration>,
 }
 
+/// Key of a client account in the headers of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AccountKey {
+    /// There is no key.
+    Absent,
+    /// No account can have the key, or there is more than one.
+    Invalid,
+    /// Digest of the key.
+    Digest(KeyDigest),
+}
+
 /// Metadata sent to an upstream with a call.
 #[derive(Debug)]
 pub struct DispatchMetadata<'a> {
@@ -51,6 +62,9 @@
     pub instance_id: &'a str,
     /// Service of the VM that the call comes from.
     pub caller: &'a str,
+    /// Client account of a request that has a key. `None` for other requests and for the calls that
+    /// upstreams make.
+    pub account: Option<&'a str>,
 }
 
 /// Classification of an upstream's response.
@@ -148,6 +162,13 @@
     /// Reads the metadata of a request.
     fn read_request(&self, headers: &HeaderMap) -> RequestMetadata;
 
+    /// Reads the key of a client account. The header holds only the key.
+    fn read_account_key(&self, headers: &HeaderMap) -> AccountKey;
+
+    /// Removes the headers with the key and with the name of a client account, whatever the sender
+    /// wrote there. Not called if the configuration has no client accounts.
+    fn remove_account_headers(&self, headers: &mut HeaderMap);
+
     /// Returns the headers that concern both ends of a call. They are kept also if the `Connection`
     /// header names them.
     fn end_to_end_headers(&self) -> &'static [HeaderName];
@@ -156,7 +177,8 @@
     /// with this id. Returns `None` if the id does not contain it.
     fn parent_id<'a>(&self, request_id: &'a HeaderValue) -> Option<&'a [u8]>;
 
-    /// Sets the headers that an upstream expects with a call.
+    /// Sets the headers that an upstream expects with a call. Leaves the header with the name of a
+    /// client account unchanged if the metadata has none.
     fn write_dispatch(&self, headers: &mut HeaderMap, metadata: &DispatchMetadata<'_>);
 
     /// Classifies an upstream's response by its head.
--- a/crates/mesh/src/running_requests.rs
+++ b/crates/mesh/src/running_requests.rs
@@ -1,5 +1,5 @@
 //! Requests that the local upstream is running. Calls that it makes for them inherit their
-//! priority and whether they are repeats.
+//! priority, their client account and whether they are repeats.
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -7,7 +7,7 @@
 use http::HeaderValue;
 
 /// Properties that a call inherits from its parent request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct ParentRequest {
     /// Priority level of the request; zero is the highest.
     pub(crate) priority_level: u32,
@@ -15,11 +15,15 @@
     pub(crate) sequence: u32,
     /// Whether this run of the request repeats an earlier one, so that its calls are repeats too.
     pub(crate) is_repeat: bool,
+    /// Name of the client account of the request. `None` without one.
+    pub(crate) account: Option<Arc<str>>,
 }
 
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug)]
 struct RunningRequest {
     parent: ParentRequest,
+    /// Number of runs with the same id. Callers choose the ids, so they may repeat.
+    runs: u32,
     /// Number of calls that the upstream has made for the request, over all levels below it.
     calls: u32,
     /// Whether a call failed that fails at every upstream.
@@ -42,13 +46,16 @@
         parent_request: ParentRequest,
     ) -> RunningRequestGuard {
         if let Some(id) = id {
+            let mut requests = requests.lock();
+            let runs = requests.get(id).map_or(0, |request| request.runs);
             let request = RunningRequest {
                 parent: parent_request,
+                runs: runs + 1,
                 calls: 0,
                 has_final_failure: false,
                 lacked_capacity: false,
             };
-            requests.lock().insert(id.clone(), request);
+            requests.insert(id.clone(), request);
         }
         RunningRequestGuard { requests: Arc::clone(requests), id: id.cloned() }
     }
@@ -56,7 +63,7 @@
     /// Returns the properties of a running request.
     pub(crate) fn get_by_id(&self, id: &[u8]) -> Option<ParentRequest> {
         let id = HeaderValue::from_bytes(id).ok()?;
-        self.lock().get(&id).map(|request| request.parent)
+        self.lock().get(&id).map(|request| request.parent.clone())
     }
 
     /// Adds calls that the upstream has made for a running request.
@@ -105,22 +112,30 @@
     /// fails at every upstream too.
     pub(crate) fn has_final_failure(&self) -> bool {
         let id = self.id.as_ref();
-        let request = id.and_then(|id| self.requests.lock().get(id).copied());
-        request.is_some_and(|request| request.has_final_failure)
+        id.is_some_and(|id| {
+            self.requests.lock().get(id).is_some_and(|request| request.has_final_failure)
+        })
     }
 
     /// Returns whether a call of the request was turned away for lack of capacity.
     pub(crate) fn lacked_capacity(&self) -> bool {
         let id = self.id.as_ref();
-        let request = id.and_then(|id| self.requests.lock().get(id).copied());
-        request.is_some_and(|request| request.lacked_capacity)
+        id.is_some_and(|id| {
+            self.requests.lock().get(id).is_some_and(|request| request.lacked_capacity)
+        })
     }
 }
 
 impl Drop for RunningRequestGuard {
+    /// Removes the request unless another run has the same id, whose calls would then be refused
+    /// because of an unknown parent.
     fn drop(&mut self) {
-        if let Some(id) = &self.id {
-            self.requests.lock().remove(id);
+        let Some(id) = &self.id else { return };
+        let mut requests = self.requests.lock();
+        let Some(request) = requests.get_mut(id) else { return };
+        request.runs -= 1;
+        if request.runs == 0 {
+            requests.remove(id);
         }
     }
 }
--- a/crates/model/src/client_account.rs
+++ b/crates/model/src/client_account.rs
@@ -5,6 +5,11 @@
 
 use sha2::{Digest, Sha256};
 
+/// Maximum length of a key, in bytes.
+pub const MAX_KEY_BYTES: usize = 256;
+/// Maximum length of an account's name, in bytes. It bounds the state and the headers per account.
+pub const MAX_ACCOUNT_NAME_BYTES: usize = 256;
+
 /// SHA-256 digest of a key. Nodes know keys by their digests only.
 #[derive(Clone, Copy, PartialEq, Eq, Hash)]
 pub struct KeyDigest([u8; 32]);
@@ -45,7 +50,7 @@
 /// Client account of an operator.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ClientAccount {
-    /// Name, unique in a configuration.
+    /// Name, unique in a configuration and suitable as the value of a header.
     pub name: Arc<str>,
     /// Digests of the keys that select the account.
     pub key_digests: Vec<KeyDigest>,
@@ -54,3 +59,12 @@
     /// Limit of the account's requests. `None` without a limit.
     pub quota: Option<Quota>,
 }
+
+impl ClientAccount {
+    /// Returns whether a name arrives unchanged if it is sent as the value of a header.
+    pub(crate) fn is_header_value(name: &str) -> bool {
+        name.len() <= MAX_ACCOUNT_NAME_BYTES
+            && name == name.trim()
+            && !name.chars().any(char::is_control)
+    }
+}
--- a/crates/model/src/configuration.rs
+++ b/crates/model/src/configuration.rs
@@ -5,7 +5,7 @@
 use indexmap::{IndexMap, IndexSet};
 use quick_error::quick_error;
 
-use crate::client_account::{ClientAccount, KeyDigest};
+use crate::client_account::{ClientAccount, KeyDigest, MAX_ACCOUNT_NAME_BYTES, MAX_KEY_BYTES};
 use crate::names::ServiceName;
 
 /// A route's latency objective may exceed its timeout by less than this, in milliseconds. A larger
@@ -44,6 +44,23 @@
         InvalidAccountName(account: Arc<str>) {
             display("client account {:?}: the name is empty or not unique", account)
         }
+        /// The name of a client account cannot be sent in a header.
+        UnusableAccountName(index: usize) {
+            display(
+                "client account at index {}: the name has control characters, surrounding spaces or \
+                 more than {} bytes",
+                index,
+                MAX_ACCOUNT_NAME_BYTES
+            )
+        }
+        /// A key is empty, not ASCII or too long. The text does not contain the key.
+        InvalidKey(account: Arc<str>) {
+            display(
+                "client account {}: a key is empty, not ASCII or longer than {} bytes",
+                account,
+                MAX_KEY_BYTES
+            )
+        }
         /// Two keys are the same. The text does not contain the key.
         DuplicateKey(account: Arc<str>) {
             display("client account {}: a key is listed twice", account)
@@ -149,6 +166,8 @@
     routes_by_host: IndexMap<Arc<str>, Vec<Arc<HostRoute>>>,
     /// Client accounts by the digests of their keys. `None` if the configuration has no accounts.
     accounts_by_key: Option<IndexMap<KeyDigest, Arc<ClientAccount>>>,
+    /// Number of client accounts, those without a key included.
+    client_account_count: usize,
 }
 
 impl Configuration {
@@ -176,7 +195,15 @@
             routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
         }
         let health_paths = IndexMap::new();
-        Ok(Self { version, limits, services, health_paths, routes_by_host, accounts_by_key: None })
+        Ok(Self {
+            version,
+            limits,
+            services,
+            health_paths,
+            routes_by_host,
+            accounts_by_key: None,
+            client_account_count: 0,
+        })
     }
 
     /// Sets the client accounts. Requests on routes that are not public then need a key, also if
@@ -191,12 +218,15 @@
     ) -> Result<Self, ConfigurationError> {
         let mut names = IndexSet::new();
         let mut accounts_by_key = IndexMap::new();
-        for account in accounts {
+        for (index, account) in accounts.into_iter().enumerate() {
             let account = Arc::new(account);
             let name = || Arc::clone(&account.name);
             if account.name.is_empty() || !names.insert(name()) {
                 return Err(ConfigurationError::InvalidAccountName(name()));
             }
+            if !ClientAccount::is_header_value(&account.name) {
+                return Err(ConfigurationError::UnusableAccountName(index));
+            }
             let is_valid = |value: f64| value.is_finite() && value >= 0.0;
             if account.quota.is_some_and(|q| !is_valid(q.rate_per_s) || !is_valid(q.burst)) {
                 return Err(ConfigurationError::InvalidQuota(name()));
@@ -207,7 +237,8 @@
                 }
             }
         }
-        Ok(Self { accounts_by_key: Some(accounts_by_key), ..self })
+        let client_account_count = names.len();
+        Ok(Self { accounts_by_key: Some(accounts_by_key), client_account_count, ..self })
     }
 
     /// Returns whether the configuration has client accounts.
@@ -215,6 +246,11 @@
         self.accounts_by_key.is_some()
     }
 
+    /// Returns the number of client accounts, those without a key included.
+    pub fn client_account_count(&self) -> usize {
+        self.client_account_count
+    }
+
     /// Returns the client account that a key selects.
     pub fn account_by_key(&self, digest: &KeyDigest) -> Option<&Arc<ClientAccount>> {
         self.accounts_by_key.as_ref()?.get(digest)
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -16,7 +16,7 @@
 
 pub use crate::{
     class::{Class, ParseClassError},
-    client_account::{ClientAccount, KeyDigest, Quota},
+    client_account::{ClientAccount, KeyDigest, MAX_ACCOUNT_NAME_BYTES, MAX_KEY_BYTES, Quota},
     configuration::{
         CallerLimits, Configuration, ConfigurationError, HostRoute, Idempotence, RouteAccess,
         RouteTarget,
--- a/crates/model/src/outcome.rs
+++ b/crates/model/src/outcome.rs
@@ -121,6 +121,8 @@
     Quarantined = "quarantined", 422, false;
     /// The request has no key of a client account, or an unknown one.
     UnknownAccount = "unknown-account", 401, false;
+    /// The call has no key, and the request that it was made for is not running at this node.
+    UnknownParent = "unknown-parent", 503, false;
     /// The quota of the client account is used up.
     QuotaExceeded = "quota-exceeded", 429, false;
     /// The node cannot prove that its configuration is recent enough to accept keys.
