Add the decision whether a configuration is proven recent enough

Cause: a node that is cut off, frozen or restarted runs requests with keys that were withdrawn. Change: policy::configuration_lease decides from proofs (stamp, version), the active version and a time of the boot clock.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,11 +6,12 @@
 //!
 //! The sidecar (crate `node`) uses [`admission`], [`routing`], [`shed`] and the retry allowance and
 //! budget of a profile. The mesh (crate `mesh`) uses [`slots`], [`named_limit`], [`placement`], [`overload`],
-//! [`weighted_split`], [`run_table`], [`retry_cost`], [`control_order`] and the retry budget shared by all nodes. Both use
+//! [`weighted_split`], [`run_table`], [`retry_cost`], [`control_order`], [`configuration_lease`] and the retry budget shared by all nodes. Both use
 //! [`quarantine`] and [`request_digest`].
 
 pub mod admission;
 pub mod burn;
+pub mod configuration_lease;
 pub mod control_order;
 pub mod critical_reserve;
 pub mod decaying_mean;
