Refuse requests with a key while the configuration is not proven recent

Cause: nothing proves to a node that its configuration is the newest; the age in an update counts from the arrival of messages, so a replica that was frozen reports old messages as new. Change: nodes stamp their reports with their boot clock while the settings ask for it and the active configuration has client accounts. Nodes answer 503 to requests on keyed routes whose configuration has no recent proof.

--- a/crates/control/src/configuration_store.rs
+++ b/crates/control/src/configuration_store.rs
@@ -8,7 +8,7 @@
 
 use quick_error::quick_error;
 use rpc::configurations_client::ConfigurationsClient;
-use rpc::{PutConfigurationRequest, PutOutcome, ReadConfigurationRequest};
+use rpc::{PutConfigurationRequest, PutOutcome, ReadConfigurationReply, ReadConfigurationRequest};
 use slog::{info, warn};
 use tonic::transport::Channel;
 
@@ -115,6 +115,22 @@
         answer.map_err(|_| StoreError::NoQuorum)
     }
 
+    /// Returns the version of the newest accepted configuration, zero before the first. Makes one
+    /// attempt, since its caller tries again with newer stamps.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no quorum confirmed the read in time.
+    pub(crate) async fn read_version(&self) -> Result<u64, StoreError> {
+        let read = async {
+            match self.context.leader_channel() {
+                Some(channel) => self.forward_read_version(channel).await,
+                None => self.propose_read().await.map(|table| table.version()),
+            }
+        };
+        tokio::time::timeout(FORWARD_TIMEOUT, read).await.unwrap_or(Err(StoreError::NoQuorum))
+    }
+
     /// Proposes a change to this replica, which must be the leader.
     pub(crate) async fn propose_put(
         &self,
@@ -172,19 +188,31 @@
         &self,
         channel: Channel,
     ) -> Result<Option<ConfigurationVersion>, StoreError> {
-        let mut client = ConfigurationsClient::new(channel).max_decoding_message_size(usize::MAX);
-        let reply = self
-            .call_leader(client.read(ReadConfigurationRequest { is_version_only: false }))
-            .await?;
-        if !reply.is_confirmed {
-            return Err(StoreError::NoQuorum);
-        }
+        let request = ReadConfigurationRequest { is_version_only: false };
+        let reply = self.forward_confirmed_read(channel, request).await?;
         Ok(reply.configuration.map(|record| ConfigurationVersion {
             version: record.version,
             text: record.text.as_ref().into(),
         }))
     }
 
+    async fn forward_read_version(&self, channel: Channel) -> Result<u64, StoreError> {
+        let request = ReadConfigurationRequest { is_version_only: true };
+        let reply = self.forward_confirmed_read(channel, request).await?;
+        // Leaders of older versions send the whole configuration and no version.
+        Ok(reply.configuration.map_or(reply.version, |record| record.version))
+    }
+
+    async fn forward_confirmed_read(
+        &self,
+        channel: Channel,
+        request: ReadConfigurationRequest,
+    ) -> Result<ReadConfigurationReply, StoreError> {
+        let mut client = ConfigurationsClient::new(channel).max_decoding_message_size(usize::MAX);
+        let reply = self.call_leader(client.read(request)).await?;
+        if reply.is_confirmed { Ok(reply) } else { Err(StoreError::NoQuorum) }
+    }
+
     async fn call_leader<T>(
         &self,
         call: impl Future<Output = Result<tonic::Response<T>, tonic::Status>>,
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod configurations;
 pub mod directory;
 mod formation;
+pub mod freshness_proofs;
 pub mod membership;
 mod peers;
 pub mod profiles;
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -120,6 +120,7 @@
         "admin" => %admin.address(), "data_centre" => %settings.data_centre);
     tokio::spawn(formation::run(log.clone(), clock, settings.clone(), replica.clone()));
     tokio::spawn(service::sync_directories(context.clone()));
+    tokio::spawn(service::prove_freshness(context.clone()));
     tokio::spawn(serve_operators(ConfigurationStore::new(context.clone())));
     let serve = serve(listener, context, stop_sender);
     let result = run_until_either_ends(serve, thread, &replica, &settings).await;
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -26,6 +26,7 @@
 use crate::configuration_store::ConfigurationStore;
 use crate::configurations::ConfigurationVersion;
 use crate::directory::Directory;
+use crate::freshness_proofs::{self, StampRegistry};
 use crate::peers::Channels;
 use crate::replica::ReplicaHandle;
 use crate::settings::Settings;
@@ -46,6 +47,7 @@
     pub(crate) directory_revision: watch::Sender<u64>,
     pub(crate) stop: watch::Receiver<bool>,
     pub(crate) channels: Arc<Channels>,
+    pub(crate) stamps: StampRegistry,
     /// Cached newest configuration, compressed as nodes receive it.
     packed_configuration: Arc<Mutex<PackedConfiguration>>,
 }
@@ -68,6 +70,7 @@
             directory_revision: watch::channel(first_revision).0,
             stop,
             channels: Arc::new(Channels::default()),
+            stamps: StampRegistry::new(),
             packed_configuration: Arc::default(),
         }
     }
@@ -161,6 +164,17 @@
     }
 }
 
+/// Sends freshness proofs to the attached nodes that ask for them, until the process stops.
+pub(crate) async fn prove_freshness(context: ServiceContext) {
+    let store = ConfigurationStore::new(context.clone());
+    let read_version = || store.read_version();
+    let mut stop = context.stop.clone();
+    tokio::select! {
+        () = freshness_proofs::prove_new_stamps(context.log, context.stamps, read_version) => {}
+        _ = stop.changed() => {}
+    }
+}
+
 /// Copies the local endpoints of the other replicas until the process stops, and expires leases.
 pub(crate) async fn sync_directories(context: ServiceContext) {
     let mut known_revisions = indexmap::IndexMap::new();
--- a/crates/control/src/service/directory_service.rs
+++ b/crates/control/src/service/directory_service.rs
@@ -98,6 +98,8 @@
         let mut is_current = self.context.replica.is_current();
         let mut stop = self.context.stop.clone();
         let mut content_age_ticks = tokio::time::interval(CONTENT_AGE_INTERVAL);
+        let mut stamps = self.context.stamps.register();
+        stamps.record(&self.report);
         self.record_report();
         loop {
             let may_have_changes = tokio::select! {
@@ -105,12 +107,19 @@
                     Ok(Some(report)) => {
                         let has_new_services =
                             report.called_services != self.report.called_services;
+                        stamps.record(&report);
                         self.report = report;
                         self.record_report();
                         has_new_services
                     }
                     _ => break,
                 },
+                proof = stamps.next_proof() => {
+                    let freshness_proof = Some(proof);
+                    let update = ControlUpdate { freshness_proof, ..ControlUpdate::default() };
+                    self.send(&updates, update).await?;
+                    false
+                }
                 _ = directory_revision.changed() => true,
                 _ = profile_revision.changed() => true,
                 _ = configuration_version.changed() => true,
--- a/crates/mesh/src/attachment.rs
+++ b/crates/mesh/src/attachment.rs
@@ -14,6 +14,7 @@
 use slog::{Logger, error, warn};
 
 use crate::configuration_holder::ConfigurationHolder;
+use crate::configuration_lease::ConfigurationLease;
 use crate::endpoints::EndpointTable;
 use crate::expected_upstream::ExpectedUpstream;
 use crate::ingress::Ingress;
@@ -34,6 +35,7 @@
     pub(crate) expected_upstream: Arc<ExpectedUpstream>,
     pub(crate) endpoints: Arc<EndpointTable>,
     pub(crate) configuration: Arc<ConfigurationHolder>,
+    pub(crate) lease: Arc<ConfigurationLease>,
     pub(crate) control_addresses: SharedControlAddresses,
     pub(crate) metrics: Arc<Metrics>,
 }
@@ -167,6 +169,9 @@
         }
         let is_applied =
             update.configuration.is_some_and(|packed| self.apply_configuration(&packed));
+        if let Some(proof) = &update.freshness_proof {
+            self.parts.lease.record_proof(proof);
+        }
         let version = i64::try_from(self.parts.configuration.version()).unwrap_or(i64::MAX);
         metrics.configuration_version.set(version);
         is_applied
@@ -204,6 +209,7 @@
                 limit_per_s: self.parts.ingress.upstream_state.limit_per_s(),
             }),
         });
+        let stamp_us = self.parts.lease.stamp();
         NodeReport {
             protocol_version: rpc::PROTOCOL_VERSION,
             cluster_id: self.parts.settings.cluster_id.clone(),
@@ -215,6 +221,9 @@
             called_services: self.called_services(),
             configuration_version: self.parts.configuration.version(),
             is_probe: false,
+            created_boot_us: stamp_us.unwrap_or(0),
+            wants_freshness_proof: stamp_us.is_some(),
+            incarnation: self.incarnation,
             ..NodeReport::default()
         }
     }
--- a/crates/mesh/src/caller_listener.rs
+++ b/crates/mesh/src/caller_listener.rs
@@ -7,7 +7,9 @@
 
 use http::request::Parts;
 use http::{HeaderName, HeaderValue, Request, Response, StatusCode, Uri, header};
-use model::{CallerLimits, Configuration, HostRoute, Outcome, Reason, ServiceName, headers};
+use model::{
+    CallerLimits, Configuration, HostRoute, Outcome, Reason, RouteAccess, ServiceName, headers,
+};
 use policy::US_PER_MS;
 use policy::overload::RequestEnd;
 use policy::retry_after;
@@ -18,6 +20,7 @@
 use crate::broken_answers::BreakReporter;
 use crate::call::{self, CallHead};
 use crate::configuration_holder::ConfigurationHolder;
+use crate::configuration_lease::ConfigurationLease;
 use crate::dispatch::Dispatcher;
 use crate::expected_upstream::ExpectedUpstream;
 use crate::failure::CallFailure;
@@ -46,6 +49,7 @@
     pub(crate) adapter: Arc<D>,
     pub(crate) dispatcher: Arc<Dispatcher<D>>,
     pub(crate) configuration: Arc<ConfigurationHolder>,
+    pub(crate) lease: Arc<ConfigurationLease>,
     pub(crate) throttles: RequestThrottles,
     pub(crate) expected_upstream: Arc<ExpectedUpstream>,
 }
@@ -70,6 +74,11 @@
         let service =
             active.next_service(route).ok_or_else(|| CallFailure::not_run(Reason::UnknownRoute))?;
         let head = self.call_head(parts, metadata, route, service, started_us);
+        let is_new = matches!(head.priority, CallPriority::NewRequest(_));
+        let is_keyed = is_new && route.access == RouteAccess::Keyed;
+        if is_keyed && !self.lease.admits_key(&active.configuration) {
+            return Err(CallFailure::not_run(Reason::ConfigurationUnproven));
+        }
         let remaining_us = head.deadline_us.saturating_sub(started_us);
         let read = CallBody::read(incoming, limits.max_body_bytes);
         let body = tokio::time::timeout(Duration::from_micros(remaining_us), read).await;
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -15,6 +15,7 @@
 mod call_stream;
 mod caller_listener;
 mod configuration_holder;
+mod configuration_lease;
 mod connection;
 mod connection_pool;
 mod crash_monitor;
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -52,6 +52,8 @@
     pub(crate) control_lost: IntCounter,
     pub(crate) control_content_age_ms: IntGauge,
     pub(crate) configuration_version: IntGauge,
+    pub(crate) configuration_proof_age_ms: IntGauge,
+    pub(crate) refused_unproven: IntCounter,
     pub(crate) upstream_limit_per_s: Gauge,
     pub(crate) upstream_reported_slots: IntGauge,
     pub(crate) announcements_ignored: IntCounter,
@@ -84,6 +86,11 @@
         )?;
         upstream_limit_per_s.set(-1.0);
         registry.register(Box::new(upstream_limit_per_s.clone()))?;
+        let configuration_proof_age_ms = gauge(
+            "configuration_proof_age_ms",
+            "Age of the last proof that the configuration in force is the newest, -1 without one",
+        )?;
+        configuration_proof_age_ms.set(-1);
         let latency = Histogram::with_opts(
             HistogramOpts::new(format!("{PREFIX}latency_seconds"), "Time to a caller's answer")
                 .buckets(LATENCY_BUCKETS_S.to_vec()),
@@ -143,6 +150,11 @@
                 "configuration_version",
                 "Version of the configuration in force",
             )?,
+            configuration_proof_age_ms,
+            refused_unproven: counter(
+                "refused_unproven_total",
+                "Requests with a key refused because the configuration was not proven recent",
+            )?,
             upstream_limit_per_s,
             upstream_reported_slots: gauge(
                 "upstream_reported_slots",
--- a/crates/mesh/src/server.rs
+++ b/crates/mesh/src/server.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use control_link::ControlLink;
-use daemon::Clock;
+use daemon::{BootClock, Clock};
 use quick_error::quick_error;
 use slog::{Logger, info, warn};
 use tokio::net::TcpListener;
@@ -16,6 +16,7 @@
 use crate::attachment::{Attachment, AttachmentParts, SharedControlAddresses};
 use crate::caller_listener::CallerHandler;
 use crate::configuration_holder::ConfigurationHolder;
+use crate::configuration_lease::ConfigurationLease;
 use crate::connection_pool::ConnectionPool;
 use crate::crash_monitor::{CrashMonitor, CrashMonitorDependencies};
 use crate::dispatch::Dispatcher;
@@ -91,6 +92,7 @@
     suspects: Arc<Suspects>,
     quarantine_peers: Arc<QuarantinePeers>,
     configuration: Arc<ConfigurationHolder>,
+    lease: Arc<ConfigurationLease>,
     dispatcher: Arc<Dispatcher<D>>,
     metrics: Arc<Metrics>,
 }
@@ -120,6 +122,8 @@
     let quarantine_peers = Arc::clone(&node.quarantine_peers);
     let evidence_exchange = tokio::spawn(async move { quarantine_peers.run().await });
     let upstream_tracking = tokio::spawn(track_local_upstream(node.local_endpoint()));
+    let lease = Arc::clone(&node.lease);
+    let lease_watch = tokio::spawn(async move { lease.watch().await });
     let reloads = tokio::spawn(reload_settings(
         log.clone(),
         source,
@@ -138,7 +142,7 @@
     stop_listeners(&log, listeners, stop_traffic, timeout.saturating_sub(drain_period)).await;
     let _ = stop_control.send(true);
     let _ = tokio::task::spawn_blocking(move || control.join()).await;
-    for task in [queue_expiry, evidence_exchange, upstream_tracking, reloads] {
+    for task in [queue_expiry, evidence_exchange, upstream_tracking, lease_watch, reloads] {
         task.abort();
     }
     info!(log, "node-stopped");
@@ -166,6 +170,13 @@
             metrics: Arc::clone(&metrics),
         }));
         let configuration = Arc::new(ConfigurationHolder::new(log.clone()));
+        let lease = Arc::new(ConfigurationLease::new(
+            log.clone(),
+            BootClock,
+            settings.max_configuration_age_ms,
+            Arc::clone(&configuration),
+            Arc::clone(&metrics),
+        ));
         let crash_monitor = Arc::new(CrashMonitor::new(CrashMonitorDependencies {
             log: log.clone(),
             clock,
@@ -212,6 +223,7 @@
             suspects,
             quarantine_peers,
             configuration,
+            lease,
             dispatcher,
             metrics,
         })
@@ -237,6 +249,7 @@
             adapter: Arc::clone(&self.adapter),
             dispatcher: Arc::clone(&self.dispatcher),
             configuration: Arc::clone(&self.configuration),
+            lease: Arc::clone(&self.lease),
             throttles: RequestThrottles::new(self.log.clone(), self.dispatcher.clock),
             expected_upstream: Arc::clone(&self.expected_upstream),
         };
@@ -291,6 +304,7 @@
             expected_upstream: Arc::clone(&self.expected_upstream),
             endpoints: Arc::clone(&self.endpoints),
             configuration: Arc::clone(&self.configuration),
+            lease: Arc::clone(&self.lease),
             control_addresses: Arc::clone(control_addresses),
             metrics: Arc::clone(&self.metrics),
         });
--- a/crates/policy/tests/configuration_lease.rs
+++ b/crates/policy/tests/configuration_lease.rs
@@ -18,10 +18,8 @@
 fn lease_with(arrivals: &[Arrival]) -> ConfigurationLease {
     let mut lease = ConfigurationLease::new(MAX_AGE_MS);
     for arrival in arrivals {
-        let proof = FreshnessProof {
-            stamp_us: arrival.stamp_ms * US_PER_MS,
-            version: arrival.version,
-        };
+        let proof =
+            FreshnessProof { stamp_us: arrival.stamp_ms * US_PER_MS, version: arrival.version };
         lease.record(arrival.arrived_ms * US_PER_MS, proof);
     }
     lease
