--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod directory;
 mod distribution;
 mod formation;
+pub mod freshness_proofs;
 pub mod membership;
 mod peers;
 pub mod profiles;
--- a/crates/mesh/src/caller_listener.rs
+++ b/crates/mesh/src/caller_listener.rs
@@ -21,6 +21,7 @@
 use crate::broken_answers::BreakReporter;
 use crate::call::{self, CallHead};
 use crate::configuration_holder::ConfigurationHolder;
+use crate::configuration_lease::ConfigurationLease;
 use crate::dispatch::Dispatcher;
 use crate::expected_upstream::ExpectedUpstream;
 use crate::failure::CallFailure;
@@ -48,6 +49,7 @@
     pub(crate) adapter: Arc<D>,
     pub(crate) dispatcher: Arc<Dispatcher<D>>,
     pub(crate) configuration: Arc<ConfigurationHolder>,
+    pub(crate) lease: Arc<ConfigurationLease>,
     pub(crate) throttles: RequestThrottles,
     pub(crate) expected_upstream: Arc<ExpectedUpstream>,
 }
@@ -253,11 +255,15 @@
     ///
     /// # Errors
     ///
-    /// Returns a failure if no account has the key any more.
+    /// Returns a failure if the configuration is not proven recent, or if no account has the key any
+    /// more.
     async fn admit_account(&self, head: &mut CallHead, key: KeyDigest) -> Result<(), CallFailure> {
         let active = self.configuration.load();
         let active = active.filter(|active| active.configuration.has_client_accounts());
         let Some(active) = active else { return Ok(()) };
+        if !self.lease.admits_key(&active.configuration) {
+            return Err(CallFailure::not_run(Reason::ConfigurationUnproven));
+        }
         let account = account_with_key(&active.configuration, &key)?;
         head.account = Some(Arc::clone(&account.name));
         Ok(())
