Lend shares of the quotas of client accounts

Cause: the requests of an account must stay within its quota over all nodes, also while nodes, links or the leader of control fail.

Change: the leader of control lends each node a share of the quota for 5 s from the node's report (policy::quota_lender); nodes admit requests by a token bucket of that share (policy::quota_bucket, mesh::account_quotas). Replicas batch the demands of their nodes for the leader, which commits a log entry before it answers. QuotaDemand gets the stamp of the grant that the held share comes from, so that the lender knows which grants no longer apply.

Requests do not call admit yet.

--- a/crates/control-link/src/lib.rs
+++ b/crates/control-link/src/lib.rs
@@ -33,6 +33,8 @@
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 /// Time without a response to an attach request after which other replicas are probed.
 const ATTACH_SEARCH_DELAY: Duration = Duration::from_millis(200);
+/// Minimum time between two reports that a demand triggers.
+const MIN_DEMAND_REPORT_INTERVAL: Duration = Duration::from_millis(50);
 const REPORT_QUEUE_CAPACITY: usize = 16;
 
 /// Event of the link that a node may count.
@@ -66,6 +68,7 @@
     log: Logger,
     node: N,
     report_trigger: watch::Receiver<u64>,
+    demand_trigger: Option<watch::Receiver<u64>>,
     stop: watch::Receiver<bool>,
     backoff: AttachBackoff,
 }
@@ -96,7 +99,13 @@
         report_trigger: watch::Receiver<u64>,
         stop: watch::Receiver<bool>,
     ) -> Self {
-        Self { log, node, report_trigger, stop, backoff: AttachBackoff::default() }
+        let backoff = AttachBackoff::default();
+        Self { log, node, report_trigger, demand_trigger: None, stop, backoff }
+    }
+
+    /// Adds a trigger whose changes send a report at once, but at most one each 50 ms.
+    pub fn with_demand_trigger(self, demand_trigger: watch::Receiver<u64>) -> Self {
+        Self { demand_trigger: Some(demand_trigger), ..self }
     }
 
     /// Keeps the node attached to one replica until the link is stopped. Moves on to the next
@@ -166,6 +175,7 @@
         let mut interval = tokio::time::interval(REPORT_INTERVAL);
         let mut health = ReplicaHealth::new(Instant::now());
         let mut search: Option<ReplicaSearch> = None;
+        let mut next_demand_report = Instant::now();
         loop {
             let replicas = self.node.control_addresses();
             let is_searching = search.is_some();
@@ -197,6 +207,12 @@
                         return StreamEnd::Lost;
                     }
                 }
+                () = demand_triggered(&mut self.demand_trigger, next_demand_report) => {
+                    next_demand_report = Instant::now() + MIN_DEMAND_REPORT_INTERVAL;
+                    if !self.send_report(&mut stream).await {
+                        return StreamEnd::Lost;
+                    }
+                }
                 changed = self.report_trigger.changed() => {
                     if changed.is_err() || !self.send_report(&mut stream).await {
                         return StreamEnd::Lost;
@@ -252,6 +268,16 @@
     }
 }
 
+/// Waits until `not_before`, then for a change of the trigger. Waits forever without a trigger. A
+/// change is not lost if the call is cancelled.
+async fn demand_triggered(trigger: &mut Option<watch::Receiver<u64>>, not_before: Instant) {
+    let Some(trigger) = trigger else { return std::future::pending().await };
+    tokio::time::sleep_until(not_before).await;
+    if trigger.changed().await.is_err() {
+        std::future::pending().await
+    }
+}
+
 /// Opens a stream, with a timeout.
 async fn open_in_time(
     address: SocketAddr,
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod membership;
 mod peers;
 pub mod profiles;
+mod quota_exchange;
 mod replica;
 mod server;
 mod service;
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -19,6 +19,7 @@
 use crate::directory::Directory;
 use crate::formation;
 use crate::peers::{self, PeerStreams};
+use crate::quota_exchange;
 use crate::replica::{self, Input, ReplicaError, ReplicaHandle};
 use crate::service::{self, ServiceContext};
 use crate::settings::Settings;
@@ -120,6 +121,7 @@
         "admin" => %admin.address(), "data_centre" => %settings.data_centre);
     tokio::spawn(formation::run(log.clone(), clock, settings.clone(), replica.clone()));
     tokio::spawn(service::sync_directories(context.clone()));
+    tokio::spawn(quota_exchange::run(context.clone()));
     tokio::spawn(serve_operators(ConfigurationStore::new(context.clone())));
     let serve = serve(listener, context, stop_sender);
     let result = run_until_either_ends(serve, thread, &replica, &settings).await;
@@ -142,11 +144,13 @@
     let replica = context.replica.clone();
     let clock = context.clock;
     let directory = Arc::clone(&context.directory);
+    let quotas = Arc::clone(&context.quotas);
     let handler = move |method: &str, path: &str, _body: &str| match (method, path) {
         ("GET", "/status") => {
             let json = status_json(&replica.view(), &directory, clock.now_us());
             AdminReply::json(200, json.to_string())
         }
+        ("GET", "/quotas") => AdminReply::json(200, quotas.status_json().to_string()),
         _ => AdminReply::not_found(),
     };
     Ok(AdminServer::start(settings.admin_listen, handler)?)
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -27,6 +27,7 @@
 use crate::configurations::ConfigurationVersion;
 use crate::directory::Directory;
 use crate::peers::Channels;
+use crate::quota_exchange::QuotaExchange;
 use crate::replica::ReplicaHandle;
 use crate::settings::Settings;
 
@@ -46,6 +47,7 @@
     pub(crate) directory_revision: watch::Sender<u64>,
     pub(crate) stop: watch::Receiver<bool>,
     pub(crate) channels: Arc<Channels>,
+    pub(crate) quotas: Arc<QuotaExchange>,
     /// Cached newest configuration, compressed as nodes receive it.
     packed_configuration: Arc<Mutex<PackedConfiguration>>,
 }
@@ -68,6 +70,7 @@
             directory_revision: watch::channel(first_revision).0,
             stop,
             channels: Arc::new(Channels::default()),
+            quotas: Arc::default(),
             packed_configuration: Arc::default(),
         }
     }
--- a/crates/control/src/service/directory_service.rs
+++ b/crates/control/src/service/directory_service.rs
@@ -4,7 +4,10 @@
 
 use indexmap::IndexMap;
 use rpc::directory_server::Directory;
-use rpc::{ControlUpdate, Endpoint, NodeReport, PackedConfiguration, ProfileRecord, ProfileSet};
+use rpc::{
+    ControlUpdate, Endpoint, NodeReport, PackedConfiguration, ProfileRecord, ProfileSet,
+    QuotaGrants,
+};
 use slog::{info, o};
 use tokio::sync::mpsc;
 use tokio_stream::wrappers::ReceiverStream;
@@ -13,6 +16,7 @@
 use super::ServiceContext;
 use crate::directory::Origin;
 use crate::profiles::ProfileTable;
+use crate::quota_exchange::{MAX_QUEUED_GRANTS, QuotaSubscriber};
 
 /// Capacity of the update queue of a node, in updates. With a capacity of 1, a node that reads
 /// slowly skips intermediate states.
@@ -60,6 +64,7 @@
             sent_profile_revision: first.profile_revision,
             sent_configuration_version: first.configuration_version,
             is_first_update: true,
+            grants: mpsc::channel(MAX_QUEUED_GRANTS).0,
             report: first,
         };
         tokio::spawn(async move {
@@ -83,6 +88,8 @@
     sent_configuration_version: u64,
     /// Whether no update with contents was sent yet; the first one is complete.
     is_first_update: bool,
+    /// Queue of the grants for the node.
+    grants: mpsc::Sender<QuotaGrants>,
 }
 
 impl NodeStream {
@@ -98,6 +105,8 @@
         let mut is_current = self.context.replica.is_current();
         let mut stop = self.context.stop.clone();
         let mut content_age_ticks = tokio::time::interval(CONTENT_AGE_INTERVAL);
+        let (grant_sender, mut grants) = mpsc::channel(MAX_QUEUED_GRANTS);
+        self.grants = grant_sender;
         self.record_report();
         loop {
             let may_have_changes = tokio::select! {
@@ -111,6 +120,11 @@
                     }
                     _ => break,
                 },
+                Some(grants) = grants.recv() => {
+                    let update = ControlUpdate { quota_grants: Some(grants), ..Default::default() };
+                    self.send(&updates, update).await?;
+                    false
+                }
                 _ = directory_revision.changed() => true,
                 _ = profile_revision.changed() => true,
                 _ = configuration_version.changed() => true,
@@ -143,6 +157,11 @@
         }
         drop(directory);
         self.context.notify_directory_change();
+        if !report.quota_demands.is_empty() {
+            let subscriber =
+                QuotaSubscriber { incarnation: report.incarnation, grants: self.grants.clone() };
+            self.context.quotas.submit(report, subscriber);
+        }
     }
 
     /// Sends what changed since the last update, if anything. The first update is always sent.
--- a/crates/control/src/service/replica_service.rs
+++ b/crates/control/src/service/replica_service.rs
@@ -14,6 +14,7 @@
 use tonic::{Request, Response, Status, Streaming};
 
 use super::ServiceContext;
+use crate::quota_exchange;
 use crate::replica::Input;
 
 const JOIN_TIMEOUT: Duration = Duration::from_millis(500);
@@ -118,8 +119,12 @@
         &self,
         request: Request<LendQuotaRequest>,
     ) -> Result<Response<LendQuotaReply>, Status> {
-        self.context.check_cluster(&request.into_inner().cluster_id)?;
-        Ok(Response::new(LendQuotaReply::default()))
+        let request = request.into_inner();
+        self.context.check_cluster(&request.cluster_id)?;
+        let lent = quota_exchange::lend_as_leader(&self.context, request.nodes).await;
+        let reply =
+            LendQuotaReply { is_confirmed: lent.is_some(), nodes: lent.unwrap_or_default() };
+        Ok(Response::new(reply))
     }
 
     async fn sync_directory(
--- /dev/null
+++ b/crates/mesh/src/account_quotas/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of the quotas of a node.
--- a/crates/mesh/src/attachment.rs
+++ b/crates/mesh/src/attachment.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use control_link::{AttachedNode, LinkEvent};
-use daemon::Clock;
+use daemon::{BootClock, Clock};
 use indexmap::IndexSet;
 use model::ServiceName;
 use policy::US_PER_MS;
@@ -13,6 +13,7 @@
 use rpc::{ControlUpdate, NodeReport};
 use slog::{Logger, error, warn};
 
+use crate::account_quotas::AccountQuotas;
 use crate::configuration_holder::ConfigurationHolder;
 use crate::endpoints::EndpointTable;
 use crate::expected_upstream::ExpectedUpstream;
@@ -36,6 +37,7 @@
     pub(crate) configuration: Arc<ConfigurationHolder>,
     pub(crate) control_addresses: SharedControlAddresses,
     pub(crate) metrics: Arc<Metrics>,
+    pub(crate) quotas: Arc<AccountQuotas>,
 }
 
 /// Node side of the link to control.
@@ -165,6 +167,9 @@
                 false => self.parts.endpoints.upsert(endpoint),
             }
         }
+        if let Some(grants) = &update.quota_grants {
+            self.parts.quotas.apply(grants);
+        }
         let is_applied =
             update.configuration.is_some_and(|packed| self.apply_configuration(&packed));
         let version = i64::try_from(self.parts.configuration.version()).unwrap_or(i64::MAX);
@@ -204,6 +209,7 @@
                 limit_per_s: self.parts.ingress.upstream_state.limit_per_s(),
             }),
         });
+        let created_boot_us = BootClock.now_us().unwrap_or(0);
         NodeReport {
             protocol_version: rpc::PROTOCOL_VERSION,
             cluster_id: self.parts.settings.cluster_id.clone(),
@@ -215,6 +221,9 @@
             called_services: self.called_services(),
             configuration_version: self.parts.configuration.version(),
             is_probe: false,
+            created_boot_us,
+            incarnation: self.incarnation,
+            quota_demands: self.parts.quotas.report(created_boot_us),
             ..NodeReport::default()
         }
     }
--- a/crates/mesh/src/caller_listener.rs
+++ b/crates/mesh/src/caller_listener.rs
@@ -14,6 +14,7 @@
 use policy::slots::CallPriority;
 use slog::info;
 
+use crate::account_quotas::AccountQuotas;
 use crate::body::{AnswerBody, BodyError, CallBody};
 use crate::broken_answers::BreakReporter;
 use crate::call::{self, CallHead};
@@ -48,6 +49,8 @@
     pub(crate) configuration: Arc<ConfigurationHolder>,
     pub(crate) throttles: RequestThrottles,
     pub(crate) expected_upstream: Arc<ExpectedUpstream>,
+    #[allow(dead_code)] // Requests do not name their account yet.
+    pub(crate) quotas: Arc<AccountQuotas>,
 }
 
 impl<D: ProtocolAdapter> CallerHandler<D> {
@@ -247,7 +250,7 @@
             headers.insert(OUTCOME, HeaderValue::from_static(failure.outcome.as_str()));
             headers.insert(REASON, HeaderValue::from_static(failure.reason.as_str()));
         }
-        if status == StatusCode::SERVICE_UNAVAILABLE {
+        if matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS) {
             let wait = retry_after::mesh_delay(failure.expected_wait, rand::random());
             self.adapter.write_retry_after(headers, wait);
         }
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -8,6 +8,7 @@
 //! The replicated control service distributes the configuration and the endpoints of the VMs to the
 //! nodes. A [`ProtocolAdapter`] defines header names, document formats and upstream notifications.
 
+mod account_quotas;
 mod attachment;
 mod body;
 mod broken_answers;
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -57,6 +57,11 @@
     pub(crate) announcements_ignored: IntCounter,
     pub(crate) refused_by_limit: IntCounter,
     pub(crate) reports_refused: IntCounter,
+    pub(crate) quota_admitted: IntCounter,
+    pub(crate) quota_refused: IntCounter,
+    pub(crate) quota_unavailable: IntCounter,
+    pub(crate) quota_waits: IntCounter,
+    pub(crate) quota_loans_expired: IntCounter,
     pub(crate) latency: Histogram,
 }
 
@@ -160,6 +165,17 @@
                 "announcements_ignored_total",
                 "Unreadable announcements in answers of the upstream",
             )?,
+            quota_admitted: counter("quota_admitted_total", "Requests admitted by a quota")?,
+            quota_refused: counter("quota_refused_total", "Requests beyond a quota")?,
+            quota_unavailable: counter(
+                "quota_unavailable_total",
+                "Requests refused because no share of the quota could be had",
+            )?,
+            quota_waits: counter("quota_waits_total", "Requests that waited for a share or room")?,
+            quota_loans_expired: counter(
+                "quota_loans_expired_total",
+                "Shares of quotas that ended without a renewal",
+            )?,
             latency,
             registry,
         })
--- a/crates/mesh/src/server.rs
+++ b/crates/mesh/src/server.rs
@@ -13,6 +13,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
+use crate::account_quotas::AccountQuotas;
 use crate::attachment::{Attachment, AttachmentParts, SharedControlAddresses};
 use crate::caller_listener::CallerHandler;
 use crate::configuration_holder::ConfigurationHolder;
@@ -93,6 +94,7 @@
     configuration: Arc<ConfigurationHolder>,
     dispatcher: Arc<Dispatcher<D>>,
     metrics: Arc<Metrics>,
+    quotas: Arc<AccountQuotas>,
 }
 
 /// Runs a node until a stop is requested.
@@ -190,6 +192,8 @@
             crash_monitor,
             metrics: Arc::clone(&metrics),
         }));
+        let request_log = Arc::new(RequestLog::new(log.clone(), clock));
+        let quotas = AccountQuotas::new(Arc::clone(&request_log), Arc::clone(&metrics));
         let dispatcher = Arc::new(Dispatcher {
             clock,
             vm: settings.vm.clone(),
@@ -199,7 +203,7 @@
             retry_bounds: settings.retry_bounds,
             retry_costs: Mutex::default(),
             metrics: Arc::clone(&metrics),
-            request_log: Arc::new(RequestLog::new(log.clone(), clock)),
+            request_log,
         });
         let log = log.clone();
         Ok(Self {
@@ -214,6 +218,7 @@
             configuration,
             dispatcher,
             metrics,
+            quotas: Arc::new(quotas),
         })
     }
 
@@ -239,6 +244,7 @@
             configuration: Arc::clone(&self.configuration),
             throttles: RequestThrottles::new(self.log.clone(), self.dispatcher.clock),
             expected_upstream: Arc::clone(&self.expected_upstream),
+            quotas: Arc::clone(&self.quotas),
         };
         let peer_handler = PeerHandler::new(
             self.dispatcher.clock,
@@ -293,9 +299,11 @@
             configuration: Arc::clone(&self.configuration),
             control_addresses: Arc::clone(control_addresses),
             metrics: Arc::clone(&self.metrics),
+            quotas: Arc::clone(&self.quotas),
         });
         let report_trigger = self.ingress.upstream_state.changes();
-        let link = ControlLink::new(self.log.clone(), attachment, report_trigger, stop);
+        let link = ControlLink::new(self.log.clone(), attachment, report_trigger, stop)
+            .with_demand_trigger(self.quotas.report_requests());
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
         let thread = thread::Builder::new().name("control".to_owned());
         thread.spawn(move || runtime.block_on(link.run()))
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! The sidecar (crate `node`) uses [`admission`], [`routing`], [`shed`] and the retry allowance and
 //! budget of a profile. The mesh (crate `mesh`) uses [`slots`], [`named_limit`], [`placement`], [`overload`],
-//! [`weighted_split`], [`run_table`], [`retry_cost`], [`control_order`] and the retry budget shared by all nodes. Both use
+//! [`weighted_split`], [`run_table`], [`retry_cost`], [`control_order`], [`quota_bucket`] and the retry budget shared by all nodes. Both use
 //! [`quarantine`] and [`request_digest`].
 
 pub mod admission;
@@ -20,6 +20,8 @@
 pub mod overload;
 pub mod placement;
 pub mod quarantine;
+pub mod quota_bucket;
+pub mod quota_lender;
 pub mod reported_load;
 pub mod request_digest;
 pub mod retry;
--- /dev/null
+++ b/crates/policy/src/quota_lender.rs
@@ -0,0 +1,330 @@
+//! Lending of shares of the quotas of client accounts by the leader of control.
+//!
+//! The lender keeps, for each node, every share that the node may still use: those of grants that
+//! were sent and that no later report has superseded. The node's part of the quota counts as lent up
+//! to the largest of them, until a report shows that the node works with a later grant or until the
+//! loans have ended. Times are on the lender's boot clock, stamps of reports on that of the node; the
+//! lender never compares the two.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+
+use crate::quota_bucket::{LOAN_US, ShareDemand};
+use crate::{US_PER_MS, US_PER_S};
+
+/// Time that a loan counts as lent after its end, in microseconds. Covers the drift between the
+/// clocks of two machines: 1 % of the loan period.
+const CLOCK_MARGIN_US: u64 = 50 * US_PER_MS;
+/// Maximum number of unconfirmed grants kept for a node and account; the oldest are merged.
+const MAX_GRANTS: usize = 16;
+/// A share is not reduced by less than this part, so that noise in the demand costs no messages.
+const MIN_REDUCTION: f64 = 0.05;
+/// Part of the held share that a node keeps as long as the wanted shares leave the quota unused.
+const KEPT_PART: f64 = 0.6;
+/// Sum of the wanted shares up to which the quota counts as unused.
+const CALM_SUM: f64 = 0.9;
+/// Interval between two sweeps over all accounts, in microseconds.
+const SWEEP_INTERVAL_US: u64 = US_PER_S;
+/// Pool from which an account that has no loans is forgotten.
+const FULL_POOL: f64 = 1.0 - 1e-9;
+
+/// Node process that reports a demand.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Reporter<'a> {
+    /// Name of the node's VM.
+    pub vm: &'a str,
+    /// Start time of the node process.
+    pub incarnation: u64,
+    /// Stamp of the report on the node's boot clock.
+    pub report_us: u64,
+}
+
+/// Share that the lender grants in answer to a report.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Grant {
+    /// Share from zero to one.
+    pub share: f64,
+    /// Part of the burst that comes with it.
+    pub initial_burst_share: f64,
+}
+
+/// Beginning of a lender's leadership.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LeaderHistory {
+    /// No replica led the cluster before, so nothing is lent.
+    First,
+    /// Earlier leaders may have lent shares until the time of the first commit.
+    Successor,
+}
+
+/// Grant that the node may apply or has applied.
+#[derive(Debug, Clone, Copy)]
+struct SentGrant {
+    report_us: u64,
+    share: f64,
+    end_us: u64,
+}
+
+/// Loans of one node.
+#[derive(Debug, Clone)]
+struct Loan {
+    incarnation: u64,
+    report_us: u64,
+    wanted_share: f64,
+    /// Time after which the demand no longer counts.
+    demand_end_us: u64,
+    grants: Vec<SentGrant>,
+}
+
+impl Loan {
+    /// Returns the largest share that the node may use.
+    fn bound(&self) -> f64 {
+        self.grants.iter().map(|grant| grant.share).fold(0.0, f64::max)
+    }
+
+    fn remove_ended(&mut self, now_us: u64) {
+        self.grants.retain(|grant| grant.end_us > now_us);
+        if self.demand_end_us <= now_us {
+            self.wanted_share = 0.0;
+        }
+    }
+
+    /// Removes the grants that the node has superseded by the one that it works with.
+    fn confirm(&mut self, demand: &ShareDemand) {
+        self.grants.retain(|grant| grant.report_us >= demand.basis_us);
+        let basis = self.grants.iter_mut().find(|grant| grant.report_us == demand.basis_us);
+        if let Some(grant) = basis {
+            grant.share = grant.share.min(demand.held_share);
+        }
+    }
+
+    fn push(&mut self, grant: SentGrant) {
+        if self.grants.len() >= MAX_GRANTS {
+            // The merged grant stays as long and is as large as both.
+            let oldest = self.grants.remove(0);
+            let next = &mut self.grants[0];
+            next.share = next.share.max(oldest.share);
+            next.end_us = next.end_us.max(oldest.end_us);
+        }
+        self.grants.push(grant);
+    }
+}
+
+/// Quota of one account.
+#[derive(Debug, Clone)]
+struct Account {
+    refill_per_s: f64,
+    /// Tokens of the unlent share, as a fraction of the burst.
+    pool_tokens: f64,
+    pool_us: u64,
+    loans: IndexMap<Arc<str>, Loan>,
+}
+
+impl Account {
+    fn lent(&self) -> f64 {
+        self.loans.values().map(Loan::bound).sum()
+    }
+
+    /// Refills the pool at the share that was unlent until now, then removes ended loans.
+    fn advance(&mut self, now_us: u64) {
+        let elapsed_s = now_us.saturating_sub(self.pool_us) as f64 / US_PER_S as f64;
+        self.pool_us = self.pool_us.max(now_us);
+        let unlent = (1.0 - self.lent()).max(0.0);
+        let refilled = self.pool_tokens + unlent * self.refill_per_s * elapsed_s;
+        self.pool_tokens = refilled.min(unlent);
+        for loan in self.loans.values_mut() {
+            loan.remove_ended(now_us);
+        }
+        self.loans.retain(|_, loan| !loan.grants.is_empty() || loan.wanted_share > 0.0);
+    }
+
+    fn wanted_sum(&self) -> f64 {
+        self.loans.values().map(|loan| loan.wanted_share).sum()
+    }
+
+    /// Returns the share that a node should have by max-min fairness.
+    fn target(&self, wanted_share: f64) -> f64 {
+        let mut wanted: Vec<f64> = self.loans.values().map(|loan| loan.wanted_share).collect();
+        wanted.sort_by(f64::total_cmp);
+        wanted_share.min(max_min_level(&wanted))
+    }
+}
+
+/// Returns the largest share that each demand may get if all together get at most one. The demands
+/// must be in ascending order.
+fn max_min_level(ascending: &[f64]) -> f64 {
+    let mut remaining = 1.0;
+    for (index, wanted) in ascending.iter().enumerate() {
+        let level = remaining / (ascending.len() - index) as f64;
+        if *wanted >= level {
+            return level;
+        }
+        remaining -= wanted;
+    }
+    1.0
+}
+
+/// Account and its holders, for status pages.
+#[derive(Debug, Clone, PartialEq)]
+pub struct AccountLoans {
+    /// Name of the account.
+    pub account: Arc<str>,
+    /// Tokens of the unlent share, as a fraction of the burst.
+    pub pool_tokens: f64,
+    /// Largest share that each node may use, by VM.
+    pub shares: Vec<(Arc<str>, f64)>,
+}
+
+/// Lender of the leader of control in one term.
+#[derive(Debug, Clone)]
+pub struct QuotaLender {
+    /// Time from which unlent shares may be lent.
+    lendable_us: u64,
+    history: LeaderHistory,
+    swept_us: u64,
+    accounts: IndexMap<Arc<str>, Account>,
+}
+
+impl QuotaLender {
+    /// Creates the lender of a leader whose first commit in its term was at `first_commit_us` or
+    /// earlier.
+    pub fn new(first_commit_us: u64, history: LeaderHistory) -> Self {
+        let lendable_us = match history {
+            LeaderHistory::First => first_commit_us,
+            LeaderHistory::Successor => {
+                first_commit_us.saturating_add(LOAN_US).saturating_add(CLOCK_MARGIN_US)
+            }
+        };
+        Self { lendable_us, history, swept_us: first_commit_us, accounts: IndexMap::new() }
+    }
+
+    /// Records the demand of a node and returns its grant. `None` if the report is older than one that
+    /// the lender has already, or contains values that are not numbers.
+    pub fn lend(
+        &mut self,
+        now_us: u64,
+        reporter: Reporter<'_>,
+        account: &str,
+        demand: &ShareDemand,
+    ) -> Option<Grant> {
+        let is_valid = |value: f64| value.is_finite() && value >= 0.0;
+        if ![demand.wanted_share, demand.held_share, demand.refill_per_s].into_iter().all(is_valid)
+        {
+            return None;
+        }
+        self.sweep_if_due(now_us);
+        let is_waiting = now_us < self.lendable_us;
+        let pool_tokens = self.initial_pool(now_us, demand.refill_per_s);
+        let (_, account) = entry(&mut self.accounts, account, || Account {
+            refill_per_s: demand.refill_per_s,
+            pool_tokens,
+            pool_us: now_us,
+            loans: IndexMap::new(),
+        });
+        account.advance(now_us);
+        account.refill_per_s = demand.refill_per_s;
+        let (index, loan) = entry(&mut account.loans, reporter.vm, || Loan {
+            incarnation: reporter.incarnation,
+            report_us: 0,
+            wanted_share: 0.0,
+            demand_end_us: 0,
+            grants: Vec::new(),
+        });
+        match reporter.incarnation.cmp(&loan.incarnation) {
+            std::cmp::Ordering::Less => return None,
+            std::cmp::Ordering::Equal if reporter.report_us <= loan.report_us => return None,
+            std::cmp::Ordering::Equal => loan.confirm(demand),
+            // The process that held the loan has ended; the new one starts with an empty bucket.
+            std::cmp::Ordering::Greater => {
+                loan.incarnation = reporter.incarnation;
+                loan.grants.clear();
+            }
+        }
+        loan.report_us = reporter.report_us;
+        loan.wanted_share = demand.wanted_share.min(1.0);
+        loan.demand_end_us = now_us + LOAN_US;
+        if is_waiting {
+            return Some(renew(now_us, reporter, loan, demand));
+        }
+        let wanted_share = loan.wanted_share;
+        let grant = decide(account, index, wanted_share);
+        account.pool_tokens -= grant.initial_burst_share;
+        let end_us = now_us + LOAN_US + CLOCK_MARGIN_US;
+        let sent = SentGrant { report_us: reporter.report_us, share: grant.share, end_us };
+        account.loans[index].push(sent);
+        account.pool_tokens = account.pool_tokens.min((1.0 - account.lent()).max(0.0));
+        Some(grant)
+    }
+
+    /// Returns all accounts with their holders.
+    pub fn loans(&self) -> impl Iterator<Item = AccountLoans> {
+        self.accounts.iter().map(|(name, account)| AccountLoans {
+            account: Arc::clone(name),
+            pool_tokens: account.pool_tokens,
+            shares: account.loans.iter().map(|(vm, loan)| (Arc::clone(vm), loan.bound())).collect(),
+        })
+    }
+
+    /// Returns the tokens in the pool of an account that the lender knows nothing of: all at the first
+    /// leader, and at a later one what has been refilled since the loans of its predecessors ended.
+    fn initial_pool(&self, now_us: u64, refill_per_s: f64) -> f64 {
+        match self.history {
+            LeaderHistory::First => 1.0,
+            LeaderHistory::Successor => {
+                let elapsed_us = now_us.saturating_sub(self.lendable_us);
+                (refill_per_s * elapsed_us as f64 / US_PER_S as f64).min(1.0)
+            }
+        }
+    }
+
+    /// Forgets accounts that have no loans and a full pool.
+    fn sweep_if_due(&mut self, now_us: u64) {
+        if now_us.saturating_sub(self.swept_us) < SWEEP_INTERVAL_US {
+            return;
+        }
+        self.swept_us = now_us;
+        self.accounts.retain(|_, account| {
+            account.advance(now_us);
+            !account.loans.is_empty() || account.pool_tokens < FULL_POOL
+        });
+    }
+}
+
+/// Returns the entry of a name and its index. Allocates only for a new one.
+fn entry<'a, T>(
+    map: &'a mut IndexMap<Arc<str>, T>,
+    name: &str,
+    create: impl FnOnce() -> T,
+) -> (usize, &'a mut T) {
+    let index = match map.get_index_of(name) {
+        Some(index) => index,
+        None => map.insert_full(Arc::from(name), create()).0,
+    };
+    (index, &mut map[index])
+}
+
+/// Renews the share that a node reports as held. The node ignores the grant if its loan has ended
+/// meanwhile.
+fn renew(now_us: u64, reporter: Reporter<'_>, loan: &mut Loan, demand: &ShareDemand) -> Grant {
+    let share = demand.held_share.min(1.0);
+    let end_us = now_us + LOAN_US + CLOCK_MARGIN_US;
+    loan.push(SentGrant { report_us: reporter.report_us, share, end_us });
+    Grant { share, initial_burst_share: 0.0 }
+}
+
+/// Returns the grant of a node from the wanted shares of all and from what is not lent.
+fn decide(account: &Account, index: usize, wanted_share: f64) -> Grant {
+    let bound = account.loans[index].bound();
+    let unlent = (1.0 - account.lent()).max(0.0);
+    let target = account.target(wanted_share);
+    if target <= bound {
+        let is_calm = account.wanted_sum() <= CALM_SUM;
+        let kept_part = if is_calm { KEPT_PART } else { 1.0 - MIN_REDUCTION };
+        let is_kept = wanted_share > 0.0 && target >= bound * kept_part;
+        let share = if is_kept { bound } else { target };
+        return Grant { share, initial_burst_share: 0.0 };
+    }
+    let raise = (target - bound).min(unlent);
+    Grant { share: bound + raise, initial_burst_share: raise.min(account.pool_tokens) }
+}
--- /dev/null
+++ b/crates/policy/tests/quotas/invariants.rs
@@ -0,0 +1,94 @@
+//! Bounds that hold whatever messages are lost or delayed and whichever machines fail.
+
+use model::Quota;
+use policy::quota_bucket::QuotaDecision;
+use policy::{US_PER_MS, US_PER_S};
+use proptest::prelude::*;
+
+use crate::world::{Delays, World};
+
+const NODE_COUNT: usize = 5;
+const QUOTA: Quota = Quota { rate_per_s: 40.0, burst: 40.0 };
+/// Delay of a message that never arrives within a test.
+const LOST_US: u64 = 1_000 * US_PER_S;
+
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    Report { node: usize, delays: Delays },
+    Requests { node: usize, count: u32 },
+    Pass { elapsed_us: u64 },
+    ChangeLeader,
+    Restart { node: usize },
+    Freeze { node: usize, duration_us: u64 },
+}
+
+fn delay() -> impl Strategy<Value = u64> {
+    prop_oneof![
+        8 => 0..20 * US_PER_MS,
+        2 => 0..2 * US_PER_S,
+        1 => 0..12 * US_PER_S,
+        1 => Just(LOST_US),
+    ]
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let delays = (delay(), 0..40 * US_PER_MS, delay());
+    let delays =
+        delays.prop_map(|(up_us, commit_us, down_us)| Delays { up_us, commit_us, down_us });
+    let node = || 0..NODE_COUNT;
+    prop_oneof![
+        30 => (node(), delays).prop_map(|(node, delays)| Step::Report { node, delays }),
+        30 => (node(), 1..60_u32).prop_map(|(node, count)| Step::Requests { node, count }),
+        30 => (0..400 * US_PER_MS).prop_map(|elapsed_us| Step::Pass { elapsed_us }),
+        3 => (0..6 * US_PER_S).prop_map(|elapsed_us| Step::Pass { elapsed_us }),
+        2 => Just(Step::ChangeLeader),
+        2 => node().prop_map(|node| Step::Restart { node }),
+        2 => (node(), 0..9 * US_PER_S)
+            .prop_map(|(node, duration_us)| Step::Freeze { node, duration_us }),
+    ]
+}
+
+fn send_requests(world: &mut World, node: usize, count: u32) {
+    let boot_us = world.boot_us(node);
+    for _ in 0..count {
+        world.nodes[node].bucket.record_offered(boot_us);
+        if world.nodes[node].bucket.admit(boot_us, QUOTA, 0) == QuotaDecision::Admitted {
+            world.record_admission(node);
+        }
+    }
+}
+
+fn run(steps: &[Step]) -> World {
+    let mut world = World::new(NODE_COUNT, QUOTA);
+    for step in steps {
+        match *step {
+            Step::Report { node, delays } if !world.is_frozen(node) => world.report(node, delays),
+            Step::Requests { node, count } if !world.is_frozen(node) => {
+                send_requests(&mut world, node, count);
+            }
+            Step::Report { .. } | Step::Requests { .. } => {}
+            Step::Pass { elapsed_us } => world.advance(elapsed_us),
+            Step::ChangeLeader => world.change_leader(),
+            Step::Restart { node } => world.restart(node),
+            Step::Freeze { node, duration_us } => {
+                world.nodes[node].frozen_until_us = world.now_us + duration_us;
+            }
+        }
+    }
+    world
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 2_000, ..ProptestConfig::default() })]
+
+    /// Guards against a share that two nodes may use at once (checked in the world at every event),
+    /// and against tokens that are counted twice when a share moves.
+    #[test]
+    fn shares_and_admissions_stay_within_the_quota(
+        steps in proptest::collection::vec(step(), 1..250),
+    ) {
+        let world = run(&steps);
+        let excess = world.max_excess(QUOTA);
+        prop_assert!(excess <= 0.0, "a window exceeds its bound by {excess}");
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/quotas/rules.rs
@@ -0,0 +1,1 @@
+//! Single rules of the bucket and the lender.
--- a/crates/rpc/src/generated.rs
+++ b/crates/rpc/src/generated.rs
@@ -236,6 +236,10 @@
     /// quota refills.
     #[prost(double, tag = "4")]
     pub refill_per_s: f64,
+    /// Stamp of the report that the held share answers; zero before the first grant. The node ignores
+    /// grants that answer this report or earlier ones.
+    #[prost(uint64, tag = "5")]
+    pub basis_boot_us: u64,
 }
 /// Share of the quota of a client account, lent to one node.
 #[derive(Clone, PartialEq, ::prost::Message)]
