Merge quotas

Requests with a key ask for quota after the key is looked up; reports carry a stamp only if they ask for a proof or for quota, so that other deployments send what they sent before.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod membership;
 mod peers;
 pub mod profiles;
+mod quota_exchange;
 mod replica;
 mod server;
 mod service;
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -30,6 +30,7 @@
 use crate::distribution::{DocumentRewriter, distribute_unchanged};
 use crate::freshness_proofs::{self, StampRegistry};
 use crate::peers::Channels;
+use crate::quota_exchange::QuotaExchange;
 use crate::replica::ReplicaHandle;
 use crate::settings::Settings;
 
@@ -50,6 +51,7 @@
     pub(crate) stop: watch::Receiver<bool>,
     pub(crate) channels: Arc<Channels>,
     pub(crate) stamps: StampRegistry,
+    pub(crate) quotas: Arc<QuotaExchange>,
     rewrite_document: DocumentRewriter,
     packed_configuration: Arc<Mutex<PackedVersion>>,
 }
@@ -83,6 +85,7 @@
             channels: Arc::new(Channels::default()),
             rewrite_document: distribute_unchanged,
             stamps: StampRegistry::new(),
+            quotas: Arc::default(),
             packed_configuration: Arc::default(),
         }
     }
--- a/crates/mesh/src/attachment.rs
+++ b/crates/mesh/src/attachment.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use control_link::{AttachedNode, LinkEvent};
-use daemon::Clock;
+use daemon::{BootClock, Clock};
 use indexmap::IndexSet;
 use model::ServiceName;
 use policy::US_PER_MS;
@@ -13,6 +13,7 @@
 use rpc::{ControlUpdate, NodeReport};
 use slog::{Logger, error, warn};
 
+use crate::account_quotas::AccountQuotas;
 use crate::configuration_holder::ConfigurationHolder;
 use crate::configuration_lease::ConfigurationLease;
 use crate::endpoints::EndpointTable;
@@ -38,6 +39,7 @@
     pub(crate) lease: Arc<ConfigurationLease>,
     pub(crate) control_addresses: SharedControlAddresses,
     pub(crate) metrics: Arc<Metrics>,
+    pub(crate) quotas: Arc<AccountQuotas>,
 }
 
 /// Node side of the link to control.
@@ -173,6 +175,9 @@
                 false => self.parts.endpoints.upsert(endpoint),
             }
         }
+        if let Some(grants) = &update.quota_grants {
+            self.parts.quotas.apply(grants);
+        }
         let is_applied =
             update.configuration.is_some_and(|packed| self.apply_configuration(&packed));
         if let Some(proof) = &update.freshness_proof {
@@ -217,6 +222,9 @@
             }),
         });
         let stamp_us = self.parts.lease.stamp();
+        let now_boot_us = stamp_us.or_else(|| BootClock.now_us()).unwrap_or(0);
+        let quota_demands = self.parts.quotas.report(now_boot_us);
+        let is_stamped = stamp_us.is_some() || !quota_demands.is_empty();
         NodeReport {
             protocol_version: rpc::PROTOCOL_VERSION,
             cluster_id: self.parts.settings.cluster_id.clone(),
@@ -228,9 +236,10 @@
             called_services: self.called_services(),
             configuration_version: self.parts.configuration.version(),
             is_probe: false,
-            created_boot_us: stamp_us.unwrap_or(0),
+            created_boot_us: if is_stamped { now_boot_us } else { 0 },
             wants_freshness_proof: stamp_us.is_some(),
             incarnation: self.incarnation,
+            quota_demands,
             ..NodeReport::default()
         }
     }
--- a/crates/mesh/src/caller_listener.rs
+++ b/crates/mesh/src/caller_listener.rs
@@ -17,6 +17,7 @@
 use slog::info;
 
 use crate::account_access::{ParentLookup, RequestOrigin, account_with_key};
+use crate::account_quotas::AccountQuotas;
 use crate::body::{AnswerBody, BodyError, CallBody};
 use crate::broken_answers::BreakReporter;
 use crate::call::{self, CallHead};
@@ -52,6 +53,7 @@
     pub(crate) lease: Arc<ConfigurationLease>,
     pub(crate) throttles: RequestThrottles,
     pub(crate) expected_upstream: Arc<ExpectedUpstream>,
+    pub(crate) quotas: Arc<AccountQuotas>,
 }
 
 impl<D: ProtocolAdapter> CallerHandler<D> {
@@ -255,8 +257,8 @@
     ///
     /// # Errors
     ///
-    /// Returns a failure if the configuration is not proven recent, or if no account has the key any
-    /// more.
+    /// Returns a failure if the configuration is not proven recent, if no account has the key any more,
+    /// or if the account has used up its quota.
     async fn admit_account(&self, head: &mut CallHead, key: KeyDigest) -> Result<(), CallFailure> {
         let active = self.configuration.load();
         let active = active.filter(|active| active.configuration.has_client_accounts());
@@ -265,6 +267,7 @@
             return Err(CallFailure::not_run(Reason::ConfigurationUnproven));
         }
         let account = account_with_key(&active.configuration, &key)?;
+        self.quotas.admit(account, Duration::from_micros(head.max_wait_us)).await?;
         head.account = Some(Arc::clone(&account.name));
         Ok(())
     }
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -9,6 +9,7 @@
 //! nodes. A [`ProtocolAdapter`] defines header names, document formats and upstream notifications.
 
 mod account_access;
+mod account_quotas;
 mod attachment;
 mod body;
 mod broken_answers;
