Test client accounts from the document to the upstream

Cause: the request path of client accounts had no tests.

Tests with nodes check the name of the account and the absence of the key on all hops, public routes, deployments without accounts, calls of upstreams, keys withdrawn or moved while a body is read, uploads, trailers, and what control sends to nodes. Refusals that tell the caller to wait are one function with a test, since nothing answers 429 yet.

--- a/crates/mesh/src/account_access.rs
+++ b/crates/mesh/src/account_access.rs
@@ -1,5 +1,8 @@
 //! Decides who sent a request, and for which client account.
 
+#[cfg(test)]
+mod tests;
+
 use std::sync::Arc;
 
 use model::{ClientAccount, Configuration, HostRoute, KeyDigest, Reason, RouteAccess};
--- a/crates/mesh/src/caller_listener.rs
+++ b/crates/mesh/src/caller_listener.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use http::request::Parts;
-use http::{HeaderName, HeaderValue, Request, Response, StatusCode, Uri, header};
+use http::{HeaderName, HeaderValue, Request, Response, Uri, header};
 use model::{
     CallerLimits, Configuration, HostRoute, KeyDigest, Outcome, Reason, ServiceName, headers,
 };
@@ -310,7 +310,7 @@
             headers.insert(OUTCOME, HeaderValue::from_static(failure.outcome.as_str()));
             headers.insert(REASON, HeaderValue::from_static(failure.reason.as_str()));
         }
-        if matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS) {
+        if !is_quarantined && failure.advises_retry() {
             let wait = retry_after::mesh_delay(failure.expected_wait, rand::random());
             self.adapter.write_retry_after(headers, wait);
         }
--- a/crates/mesh/src/failure.rs
+++ b/crates/mesh/src/failure.rs
@@ -1,5 +1,8 @@
 //! Failed calls and their mapping to HTTP status codes.
 
+#[cfg(test)]
+mod tests;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -56,6 +59,13 @@
         Self { has_reached_upstream: true, ..self }
     }
 
+    /// Returns whether the caller is told after which wait it may send the request again: it did not
+    /// run, and the cause passes.
+    pub(crate) fn advises_retry(&self) -> bool {
+        let status = self.status();
+        matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS)
+    }
+
     /// Returns the status for the caller. Status 503 guarantees that the call did not run: it is
     /// never used for a call that may have run, and it replaces 502 and 504 for a call that did
     /// not.
--- a/crates/mesh/src/running_requests.rs
+++ b/crates/mesh/src/running_requests.rs
@@ -1,6 +1,9 @@
 //! Requests that the local upstream is running. Calls that it makes for them inherit their
 //! priority, their client account and whether they are repeats.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
