--- a/crates/mesh/src/caller_listener.rs
+++ b/crates/mesh/src/caller_listener.rs
@@ -78,15 +78,7 @@
         }
         let account = head.account.clone();
         let remaining_us = head.deadline_us.saturating_sub(started_us);
-        let read = CallBody::read(incoming, limits.max_body_bytes);
-        let body = tokio::time::timeout(Duration::from_micros(remaining_us), read).await;
-        let body = body.map_err(|_| CallFailure::not_run(Reason::RequestTimeout))?;
-        let body = body.map_err(|error| {
-            CallFailure::not_run(match error {
-                BodyError::TooLarge => Reason::BodyTooLarge,
-                BodyError::Connection(_) | BodyError::DeadlineExceeded => Reason::TruncatedRequest,
-            })
-        })?;
+        let body = read_body(incoming, limits, Duration::from_micros(remaining_us)).await?;
         let result = match head.priority {
             CallPriority::InProgress(_) => self.run_in_progress(head, body, route).await,
             CallPriority::NewRequest(priority_level) => {
@@ -381,6 +373,23 @@
     }
 }
 
+/// Reads the body of a request until it ends or is long enough to be streamed.
+async fn read_body(
+    incoming: InboundBody,
+    limits: CallerLimits,
+    remaining: Duration,
+) -> Result<CallBody, CallFailure> {
+    let read = CallBody::read(incoming, limits.max_body_bytes);
+    let body = tokio::time::timeout(remaining, read).await;
+    let body = body.map_err(|_| CallFailure::not_run(Reason::RequestTimeout))?;
+    body.map_err(|error| {
+        CallFailure::not_run(match error {
+            BodyError::TooLarge => Reason::BodyTooLarge,
+            BodyError::Connection(_) | BodyError::DeadlineExceeded => Reason::TruncatedRequest,
+        })
+    })
+}
+
 /// Returns the request id for logs, or `-` if there is none.
 fn id_text(metadata: &RequestMetadata) -> &str {
     metadata.request_id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("-")
