--- a/crates/testbed/tests/freshness_proofs.rs
+++ b/crates/testbed/tests/freshness_proofs.rs
@@ -25,7 +25,7 @@
 /// Time for which a replica is cut off or frozen: longer than the time of revocation.
 const FAULT_DURATION: Duration = Duration::from_secs(6);
 /// Proofs that each node receives before the fault.
-const MIN_PROOFS: usize = 3;
+const MIN_PROOFS: usize = 5;
 /// Time for messages that were sent before a cut.
 const SETTLE_TIME: Duration = Duration::from_millis(200);
 /// Data centre of the nodes, whose links are not cut.
