--- a/crates/policy/src/quota_bucket.rs
+++ b/crates/policy/src/quota_bucket.rs
@@ -18,7 +18,7 @@
 /// tenfold rise within one report round trip, the middle one lets others have the share of demand
 /// that has gone.
 const FAST_TIME_CONSTANT_US: u64 = 200 * US_PER_MS;
-const MIDDLE_TIME_CONSTANT_US: u64 = 450 * US_PER_MS;
+const MIDDLE_TIME_CONSTANT_US: u64 = 350 * US_PER_MS;
 const SLOW_TIME_CONSTANT_US: u64 = 2 * US_PER_S;
 /// Requests beyond the mean that the wanted share of a busy node covers, in standard deviations of a
 /// Poisson process over the time in which the bucket refills. Single requests beyond that are
@@ -47,7 +47,7 @@
 const GROWTH_FACTOR: f64 = 1.1;
 /// Part of the quota that a node may hold beyond what it wants until its next periodic report. Less
 /// makes no difference to others that is worth a message.
-pub const SURPLUS_SHARE: f64 = 0.1;
+pub const SURPLUS_SHARE: f64 = 0.05;
 /// Factor by which a share may exceed what the node wants while the quota is not used up.
 pub const CALM_FACTOR: f64 = 1.25;
 /// Difference below which two shares count as equal.
