--- a/crates/policy/tests/quotas/loads.rs
+++ b/crates/policy/tests/quotas/loads.rs
@@ -346,12 +346,13 @@
     let lowered = quota(30.0);
     let rate = |_: usize, _: u64| RATE_PER_S * 2.0 / ENTRY_NODES as f64;
     let events = [(8 * SECOND, Event::Quota(lowered))];
-    let (lent, _) = compare(&Load { events: &events, ..load(RATE_PER_S, &rate) });
+    let (lent, fixed) = compare(&Load { events: &events, ..load(RATE_PER_S, &rate) });
     let after = lent.tally(8..13).admitted;
     let bound = lowered.rate_per_s * 5.0 + lowered.burst + ENTRY_NODES as f64;
     assert!(f64::from(after) <= bound, "{after}");
     let served = lent.tally(9..20).admitted;
     assert!(f64::from(served) >= 0.95 * lowered.rate_per_s * 11.0, "{served}");
+    assert!(fixed.tally(9..20).admitted < served / 2);
 }
 
 /// Guards against a share that stays where the demand was.
@@ -444,8 +445,9 @@
         _ => 0.0,
     };
     let events = [(6 * SECOND, Event::Freeze(0, 7 * SECOND))];
-    let (lent, _) = compare(&Load { events: &events, ..load(RATE_PER_S, &rate) });
+    let (lent, fixed) = compare(&Load { events: &events, ..load(RATE_PER_S, &rate) });
     // The other node gets all of the quota once the loan of the frozen one has ended.
     let alone = lent.tally(12..13).admitted;
     assert!(f64::from(alone) >= 0.9 * RATE_PER_S, "{alone}");
+    assert!(fixed.tally(12..13).admitted < alone / 2);
 }
