--- a/crates/mesh/src/server.rs
+++ b/crates/mesh/src/server.rs
@@ -123,6 +123,8 @@
     let queue_expiry = tokio::spawn(async move { slot_queue.expire_queued_calls().await });
     let quarantine_peers = Arc::clone(&node.quarantine_peers);
     let evidence_exchange = tokio::spawn(async move { quarantine_peers.run().await });
+    let quotas = Arc::clone(&node.quotas);
+    let quota_surplus = tokio::spawn(async move { quotas.report_surplus().await });
     let upstream_tracking = tokio::spawn(track_local_upstream(node.local_endpoint()));
     let lease = Arc::clone(&node.lease);
     let lease_watch = tokio::spawn(async move { lease.watch().await });
@@ -144,7 +146,9 @@
     stop_listeners(&log, listeners, stop_traffic, timeout.saturating_sub(drain_period)).await;
     let _ = stop_control.send(true);
     let _ = tokio::task::spawn_blocking(move || control.join()).await;
-    for task in [queue_expiry, evidence_exchange, upstream_tracking, lease_watch, reloads] {
+    let tasks =
+        [queue_expiry, evidence_exchange, quota_surplus, upstream_tracking, lease_watch, reloads];
+    for task in tasks {
         task.abort();
     }
     info!(log, "node-stopped");
