Decide admission of a route by failure data that all nodes share

Cause: each of 91 entry nodes sees few requests a second of a route and decides by its own failures, so its failure share decays between two samples.

Change: policy::shared_failures keeps the share of failed runs per route at the nodes beside the upstreams and merges the shares at entry nodes. RequestThrottle::with_shared_failures decides by the merged share. A route that cannot succeed is reduced to probes, whose results the entry nodes exchange through one node per route, the collector, which also limits the rate of probes. Throttles without shared data decide as before. Nothing uses it outside of tests yet.

The tests of overload pass unchanged.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,7 +5,7 @@
 //! simulations can run the logic deterministically.
 //!
 //! The sidecar (crate `node`) uses [`admission`], [`routing`], [`shed`] and the retry allowance and
-//! budget of a profile. The mesh (crate `mesh`) uses [`slots`], [`named_limit`], [`placement`], [`overload`],
+//! budget of a profile. The mesh (crate `mesh`) uses [`slots`], [`named_limit`], [`placement`], [`overload`], [`shared_failures`],
 //! [`weighted_split`], [`run_table`], [`retry_cost`], [`control_order`] and the retry budget shared by all nodes. Both use
 //! [`quarantine`] and [`request_digest`].
 
@@ -29,6 +29,7 @@
 pub mod retry_cost;
 pub mod routing;
 pub mod run_table;
+pub mod shared_failures;
 pub mod shared_retry_budget;
 pub mod shed;
 pub mod slots;
--- a/crates/policy/src/overload.rs
+++ b/crates/policy/src/overload.rs
@@ -13,8 +13,12 @@
 //! a called service that rejects part of its calls whatever its load, where requests with several
 //! calls are unlikely to succeed.
 
+mod shared;
+
 use indexmap::IndexMap;
 
+use self::shared::SharedState;
+pub use self::shared::{Exchange, ExchangeAnswer};
 use crate::decaying_mean::DecayingMean;
 use crate::{US_PER_MS, US_PER_S};
 
@@ -182,6 +186,9 @@
     refused_since_admission: u32,
     /// Times at which refused callers may retry, in microseconds by caller digest.
     expected_retries: IndexMap<u64, u64>,
+    /// State of the decision by failure data that all nodes share. `None` if the node's own sample
+    /// decides.
+    shared: Option<SharedState>,
 }
 
 impl Default for RequestThrottle {
@@ -200,6 +207,7 @@
             last_admission_us: 0,
             refused_since_admission: 0,
             expected_retries: IndexMap::new(),
+            shared: None,
         }
     }
 }
@@ -214,6 +222,7 @@
             RequestEnd::Succeeded => self.last_success_us = now_us,
             RequestEnd::Failed | RequestEnd::LackedCapacity => self.last_failure_us = now_us,
         }
+        self.record_shared_end(end);
     }
 
     /// Records how long after its admission a request failed.
@@ -235,21 +244,33 @@
         priority_level: u32,
         caller: u64,
     ) -> bool {
+        if self.shared.is_some() {
+            return self.try_admit_shared(now_us, overload, priority_level, caller);
+        }
         self.update_ratio(now_us, overload, priority_level);
+        self.try_admit_by_credit(now_us, caller)
+    }
+
+    fn try_admit_by_credit(&mut self, now_us: u64, caller: u64) -> bool {
         self.credit = (self.credit + self.admission_ratio).min(MAX_ADMISSION_CREDIT);
         let min_credit =
             if self.take_expected_retry(now_us, caller) { 1.0 - CALLER_RETRY_CREDIT } else { 1.0 };
         let has_credit = self.credit >= min_credit;
-        if !has_credit && !self.is_probe_due(now_us) {
-            self.refused_since_admission += 1;
-            return false;
-        }
+        let is_admitted = has_credit || self.is_probe_due(now_us);
         if has_credit {
             self.credit -= 1.0;
         }
+        self.count_decision(now_us, is_admitted);
+        is_admitted
+    }
+
+    fn count_decision(&mut self, now_us: u64, is_admitted: bool) {
+        if !is_admitted {
+            self.refused_since_admission += 1;
+            return;
+        }
         self.last_admission_us = now_us;
         self.refused_since_admission = 0;
-        true
     }
 
     /// Registers that a refused caller was advised to retry after a delay.
@@ -265,7 +286,7 @@
         self.capacity_failures.value(now_us)
     }
 
-    /// Returns the admission ratio, from 0.01 to 1.0.
+    /// Returns the admission ratio, from 0.01 to 1.0, or 0.0 if only probes are admitted.
     pub fn admission_ratio(&self) -> f64 {
         self.admission_ratio
     }
