Let admission return faster after a burst

Cause: with 20 entry nodes a route cut to 0.36 by a burst was back at 0.9 only after 2.5 s. Change: the ratio grows by 0.06 per 100 ms with shared data; the test requires a return within 2 s.

--- a/crates/policy/src/overload/shared.rs
+++ b/crates/policy/src/overload/shared.rs
@@ -31,9 +31,9 @@
 /// Minimum ratio while requests may succeed. A kind that succeeds in 45 of 100 cases gets useful
 /// work done, and its failures do not become fewer with its requests.
 const MIN_SHARED_RATIO: f64 = 0.25;
-/// Increase of the admission ratio per [`UPDATE_INTERVAL_US`] without failures and overload. Twice
-/// that of a node's own sample, so that a route cut to a third returns within 2 s.
-const SHARED_RATIO_INCREASE: f64 = 0.04;
+/// Increase of the admission ratio per [`UPDATE_INTERVAL_US`] without failures and overload. Three
+/// times that of a node's own sample, so that a route cut to a third returns within 2 s.
+const SHARED_RATIO_INCREASE: f64 = 0.06;
 /// Delay between a cut and its effect on the merged share, in microseconds: the latency of
 /// a request, the window of runs at the nodes beside the upstreams, and the age of their reports.
 const SHARE_DELAY_US: f64 = 1_200.0 * US_PER_MS as f64;
--- a/crates/policy/tests/shared_failures/main.rs
+++ b/crates/policy/tests/shared_failures/main.rs
@@ -112,6 +112,7 @@
     let returned_s = replay.seconds_until(CHAIN, 11 * S, |admitted| admitted > 0.9);
     println!("{entries} entries: utilization {mean:.3}, failed {failed:.4}, served {served:.2?}");
     println!("admitted chains {admitted:.2?}, returned {returned_s} s");
+    assert!(returned_s <= 2.0, "returned {returned_s} s after the end");
     assert!(mean >= 0.95, "the bottleneck is used by {mean}");
     assert!(failed < MAX_FAILED_SHARE, "{failed} failed");
     let (lowest, highest) =
