--- a/crates/mesh/src/caller_listener.rs
+++ b/crates/mesh/src/caller_listener.rs
@@ -51,7 +51,7 @@
     pub(crate) dispatcher: Arc<Dispatcher<D>>,
     pub(crate) configuration: Arc<ConfigurationHolder>,
     pub(crate) lease: Arc<ConfigurationLease>,
-    pub(crate) throttles: RequestThrottles,
+    pub(crate) throttles: Arc<RequestThrottles>,
     pub(crate) expected_upstream: Arc<ExpectedUpstream>,
     pub(crate) quotas: Arc<AccountQuotas>,
 }
