Choose VMs by an estimate of their load, and report their rates

Cause: all nodes choose by the last reports of the VMs at the same moment, so VMs are overloaded in turn while others are idle. Change: the decision policy::estimated_load, selected by the setting balancing, moves reports forward by the rates that the node beside each upstream measures, and divides calls by capacity as reports age. Four fields are appended to heatherweir-load; older nodes ignore them. The fourth figure of the platform's load header becomes a slowdown factor.

--- a/crates/mesh/src/endpoints.rs
+++ b/crates/mesh/src/endpoints.rs
@@ -5,23 +5,38 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
 use model::{DataCentreName, ServiceName, Vm, VmName};
 use policy::US_PER_S;
+use policy::balancer::Balancer;
 use policy::decaying_mean::DecayingMean;
+use policy::estimated_load::{Choice, CrossingCause, EstimatedLoad, NextChoice};
 use policy::overload::OVERLOAD_TIME_CONSTANT_US;
 use policy::placement::{Placement, PlacementResult};
 use policy::shared_retry_budget::{RetryBounds, SharedRetryBudget};
 use slog::{Logger, info, warn};
 
 use crate::ingress::NodeLoad;
+use crate::settings::Balancing;
 
 /// VM selected for a call.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct ChosenVm {
     pub(crate) vm: VmName,
     pub(crate) address: SocketAddr,
+    /// Why the VM is in another data centre, if the balancer tells.
+    pub(crate) crossing: Option<CrossingCause>,
+    /// Age of the VM's last report, if the balancer tells.
+    pub(crate) report_age_us: Option<u64>,
+}
+
+/// VM to ask after a refusal.
+pub(crate) enum NextVm {
+    Chosen(ChosenVm),
+    /// No VM is expected to take the call. The shortest expected wait, if there is another VM.
+    NoneExpected(Option<Duration>),
 }
 
 /// Time for which a VM that control no longer lists stays in use, in microseconds. A restarted
@@ -57,7 +72,7 @@
 
 #[derive(Debug)]
 struct ServiceEndpoints {
-    placement: Placement,
+    placement: Balancer,
     peers: IndexMap<VmName, PeerEndpoint>,
     retry_budget: Option<SharedRetryBudget>,
     /// Decaying mean of the overload probabilities that VMs report with their responses.
@@ -76,12 +91,24 @@
 pub(crate) struct EndpointTable {
     log: Logger,
     own_data_centre: DataCentreName,
+    balancing: Balancing,
     table: Arc<Mutex<TableState>>,
 }
 
 impl EndpointTable {
     pub(crate) fn new(log: Logger, own_data_centre: DataCentreName) -> Self {
-        Self { log, own_data_centre, table: Arc::default() }
+        let balancing = Balancing::TwoChoices;
+        Self { log, own_data_centre, balancing, table: Arc::default() }
+    }
+
+    /// Selects how the VM of a call is chosen. Applies to services that are added later.
+    pub(crate) fn with_balancing(self, balancing: Balancing) -> Self {
+        Self { balancing, ..self }
+    }
+
+    /// Returns whether a refused call ends once no other VM is expected to take it.
+    pub(crate) fn expects_refusals(&self) -> bool {
+        self.balancing == Balancing::EstimatedLoad
     }
 
     /// Registers the local upstream under its service and removes it from all others.
@@ -101,7 +128,7 @@
         }
         table.vms.insert(vm.name.clone());
         let Some(service) = service else { return };
-        let endpoints = table.service(service, &self.own_data_centre);
+        let endpoints = table.service(service, || self.balancer());
         endpoints.placement.upsert(&vm.name, &vm.data_centre, is_leaving);
         endpoints.peers.insert(vm.name.clone(), PeerEndpoint::new(address, 0, None));
     }
@@ -123,7 +150,7 @@
             }
         }
         table.vms.insert(vm.clone());
-        let endpoints = table.service(&service, &self.own_data_centre);
+        let endpoints = table.service(&service, || self.balancer());
         let process = endpoint.upstream.as_ref().map(|process| UpstreamProcess {
             instance_id: process.instance_id.clone(),
             started_unix_ms: process.started_unix_ms,
@@ -192,9 +219,45 @@
     ) -> Option<ChosenVm> {
         let mut table = self.lock();
         let endpoints = table.services.get_mut(service)?;
-        let vm = endpoints.placement.choose(now_us, tried, rand::random())?;
-        let address = endpoints.peers.get(&vm)?.address;
-        Some(ChosenVm { vm, address })
+        let choice = endpoints.placement.choose(now_us, tried, rand::random())?;
+        endpoints.chosen(choice)
+    }
+
+    /// Selects the VM to ask after a refusal, one that is expected to start the call within
+    /// `max_wait_us`, and counts the call as in flight there.
+    pub(crate) fn choose_after_refusal(
+        &self,
+        now_us: u64,
+        service: &ServiceName,
+        tried: &[VmName],
+        max_wait_us: u64,
+    ) -> NextVm {
+        let mut table = self.lock();
+        let Some(endpoints) = table.services.get_mut(service) else {
+            return NextVm::NoneExpected(None);
+        };
+        let random = rand::random();
+        match endpoints.placement.choose_after_refusal(now_us, tried, max_wait_us, random) {
+            NextChoice::Vm(choice) => {
+                endpoints.chosen(choice).map_or(NextVm::NoneExpected(None), NextVm::Chosen)
+            }
+            NextChoice::NoneExpected { wait_us } => {
+                NextVm::NoneExpected(wait_us.map(Duration::from_micros))
+            }
+        }
+    }
+
+    /// Returns whether a VM that was not tried is expected to start a call within `max_wait_us`.
+    pub(crate) fn has_room(
+        &self,
+        now_us: u64,
+        service: &ServiceName,
+        tried: &[VmName],
+        max_wait_us: u64,
+    ) -> bool {
+        let table = self.lock();
+        let endpoints = table.services.get(service);
+        endpoints.is_some_and(|known| known.placement.has_room(now_us, tried, max_wait_us))
     }
 
     /// Returns the VMs of a service with the addresses of their nodes, except one VM.
@@ -227,7 +290,7 @@
         };
         endpoints.placement.finish(now_us, vm, result);
         if let Some(load) = load {
-            endpoints.placement.report(vm, load.placement);
+            endpoints.placement.report(now_us, vm, load.placement, load.rates);
             endpoints.overload.record(now_us, f64::from(load.overload_permille) / 1_000.0);
         }
         // The grace of unlisted VMs covers a control that has not heard from them yet, not a node
@@ -301,12 +364,28 @@
         endpoints.retry_budget(now_us, bounds, nodes).withdraw(now_us, bounds, nodes, cost)
     }
 
+    fn balancer(&self) -> Balancer {
+        let own_data_centre = self.own_data_centre.clone();
+        match self.balancing {
+            Balancing::TwoChoices => Balancer::TwoChoices(Placement::new(own_data_centre)),
+            Balancing::EstimatedLoad => {
+                Balancer::EstimatedLoad(EstimatedLoad::new(own_data_centre))
+            }
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, TableState> {
         self.table.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 impl ServiceEndpoints {
+    fn chosen(&self, choice: Choice) -> Option<ChosenVm> {
+        let Choice { vm, crossing, report_age_us } = choice;
+        let address = self.peers.get(&vm)?.address;
+        Some(ChosenVm { vm, address, crossing, report_age_us })
+    }
+
     fn retry_budget(
         &mut self,
         now_us: u64,
@@ -321,10 +400,10 @@
     fn service(
         &mut self,
         service: &ServiceName,
-        own_data_centre: &DataCentreName,
+        balancer: impl FnOnce() -> Balancer,
     ) -> &mut ServiceEndpoints {
         self.services.entry(service.clone()).or_insert_with(|| ServiceEndpoints {
-            placement: Placement::new(own_data_centre.clone()),
+            placement: balancer(),
             peers: IndexMap::new(),
             retry_budget: None,
             overload: DecayingMean::new(OVERLOAD_TIME_CONSTANT_US),
--- a/crates/mesh/src/endpoints/tests.rs
+++ b/crates/mesh/src/endpoints/tests.rs
@@ -64,6 +64,7 @@
 
 const LOAD: NodeLoad = NodeLoad {
     placement: PlacementLoad { in_flight: 0, queued: 0, limit: 20 },
+    rates: None,
     is_leaving: true,
     overload_permille: 0,
 };
--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -14,6 +14,7 @@
 use policy::overload::NodeOverload;
 use policy::placement::PlacementLoad;
 use policy::slots::{CallPriority, RefusalCause, SlotRequest};
+use policy::vm_rates::VmRates;
 use slog::{Logger, info, warn};
 
 use crate::body::{self, AnswerBody, CallBody, StreamGuard};
@@ -68,6 +69,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct NodeLoad {
     pub(crate) placement: PlacementLoad,
+    /// Rates of the upstream. `None` if a node of an older version reported the load.
+    pub(crate) rates: Option<VmRates>,
     /// Whether other nodes should send their calls elsewhere.
     pub(crate) is_leaving: bool,
     /// Probability that a request handled by the node fails for lack of capacity, in thousandths.
@@ -159,7 +162,8 @@
         };
         let placement = PlacementLoad { in_flight: load.in_flight, queued: load.queued, limit };
         let overload_permille = (self.lock_overload().failure_probability(now_us) * 1_000.0) as u32;
-        NodeLoad { placement, is_leaving: self.is_leaving(), overload_permille }
+        let rates = Some(self.slot_queue.rates());
+        NodeLoad { placement, rates, is_leaving: self.is_leaving(), overload_permille }
     }
 
     /// Returns the parent request if `request_id` belongs to a call that the
--- a/crates/mesh/src/peer.rs
+++ b/crates/mesh/src/peer.rs
@@ -1,5 +1,8 @@
 //! Calls between nodes: HTTP/1.1 with internal headers. Each response carries the load of the node.
 
+#[cfg(test)]
+mod tests;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,6 +13,7 @@
 use model::{Idempotence, Outcome, Reason, ServiceName, headers};
 use policy::placement::PlacementLoad;
 use policy::slots::CallPriority;
+use policy::vm_rates::VmRates;
 use quick_error::quick_error;
 
 use crate::body::{self, AnswerBody, CallBody, StreamGuard};
@@ -33,7 +37,9 @@
 /// Service of the VM that the call comes from.
 const CALLER: HeaderName = HeaderName::from_static("heatherweir-caller");
 /// Fields of a node's load, separated by spaces: calls in flight, queued calls, limit, whether the
-/// node is leaving, and overload probability in thousandths.
+/// node is leaving, overload probability in thousandths, arrivals and completions per second, mean
+/// service time in microseconds, and time without a completion in milliseconds. The last four are
+/// absent in answers of older nodes, which ignore them.
 const LOAD: HeaderName = HeaderName::from_static("heatherweir-load");
 /// Number of calls that a run made, over all levels below it. Absent in answers of older nodes.
 const CALLS: HeaderName = HeaderName::from_static("heatherweir-calls");
@@ -265,7 +271,12 @@
     let PlacementLoad { in_flight, queued, limit } = load.placement;
     let is_leaving = u8::from(load.is_leaving);
     let overload_permille = load.overload_permille;
-    let text = format!("{in_flight} {queued} {limit} {is_leaving} {overload_permille}");
+    let VmRates { arrivals_per_s, completions_per_s, service_us, no_completion_ms } =
+        load.rates.unwrap_or_default();
+    let text = format!(
+        "{in_flight} {queued} {limit} {is_leaving} {overload_permille} {arrivals_per_s} \
+         {completions_per_s} {service_us} {no_completion_ms}"
+    );
     HeaderValue::try_from(text).unwrap_or(HeaderValue::from_static("0 0 1 0 0"))
 }
 
@@ -274,7 +285,19 @@
     let mut number = || fields.next()?.parse::<u32>().ok();
     let placement = PlacementLoad { in_flight: number()?, queued: number()?, limit: number()? };
     let is_leaving = number()? != 0;
-    Some(NodeLoad { placement, is_leaving, overload_permille: number()? })
+    let overload_permille = number()?;
+    let rates = read_rates(number);
+    Some(NodeLoad { placement, rates, is_leaving, overload_permille })
+}
+
+/// Reads the rates of a VM. Returns `None` if a field is missing or malformed.
+fn read_rates(mut number: impl FnMut() -> Option<u32>) -> Option<VmRates> {
+    Some(VmRates {
+        arrivals_per_s: number()?,
+        completions_per_s: number()?,
+        service_us: number()?,
+        no_completion_ms: number()?,
+    })
 }
 
 fn encode_failure(failure: &CallFailure) -> Response<AnswerBody> {
--- a/crates/mesh/src/server.rs
+++ b/crates/mesh/src/server.rs
@@ -153,7 +153,7 @@
         let pool = ConnectionPool::new(clock);
         let vm = settings.vm.name.clone();
         let endpoints = EndpointTable::new(log.clone(), settings.vm.data_centre.clone());
-        let endpoints = Arc::new(endpoints);
+        let endpoints = Arc::new(endpoints.with_balancing(settings.balancing));
         let upstream_state = Arc::new(UpstreamState::new());
         let suspects = Suspects::new(log.clone(), clock, vm.clone(), Arc::clone(&metrics));
         let suspects = Arc::new(suspects);
--- a/crates/mesh/src/slot_queue.rs
+++ b/crates/mesh/src/slot_queue.rs
@@ -10,6 +10,7 @@
     CallEnd, Decision, Event, RefusalCause, RunningCall, SlotAdmission, SlotLoad, SlotRequest,
     Ticket,
 };
+use policy::vm_rates::{RateMeter, VmRates};
 use tokio::sync::{Notify, oneshot};
 
 /// Maximum interval between two checks for expired calls; bounds how late a queued call is refused.
@@ -41,11 +42,21 @@
 /// Admission controller for the upstream's slots, and the calls that wait for a slot.
 struct State {
     slot_admission: SlotAdmission,
+    rate_meter: RateMeter,
     waiters: HashMap<Ticket, Waiter>,
     next_ticket: Ticket,
 }
 
 impl State {
+    /// Releases the slot of a call and returns the results for queued calls.
+    fn complete(&mut self, now_us: u64, call: RunningCall, end: CallEnd) -> Vec<Event> {
+        self.rate_meter.record_end(now_us);
+        if let CallEnd::Answered { service_us } = end {
+            self.rate_meter.record_service_time(now_us, service_us);
+        }
+        self.slot_admission.complete(now_us, call, end)
+    }
+
     /// Sends admission results to queued calls. A slot granted to a cancelled call is passed on to
     /// the next one.
     fn notify_waiters(&mut self, now_us: u64, mut events: Vec<Event>) {
@@ -54,13 +65,13 @@
                 Event::Admit(ticket) => {
                     let Some(waiter) = self.waiters.remove(&ticket) else { continue };
                     if waiter.sender.send(Ok(waiter.call)).is_err() {
-                        let further_events =
-                            self.slot_admission.complete(now_us, waiter.call, CallEnd::Other);
+                        let further_events = self.complete(now_us, waiter.call, CallEnd::Other);
                         events.extend(further_events);
                     }
                 }
                 Event::Refuse { ticket, wait_us, cause } => {
                     let Some(waiter) = self.waiters.remove(&ticket) else { continue };
+                    self.rate_meter.record_end(now_us);
                     // Sending fails if the call was cancelled, which needs no result.
                     let _ = waiter.sender.send(Err(Refusal::new(wait_us, cause)));
                 }
@@ -79,8 +90,13 @@
 
 impl SlotQueue {
     pub(crate) fn new(clock: Clock) -> Self {
-        let slot_admission = SlotAdmission::new(0, clock.now_us());
-        let state = State { slot_admission, waiters: HashMap::new(), next_ticket: 0 };
+        let now_us = clock.now_us();
+        let state = State {
+            slot_admission: SlotAdmission::new(0, now_us),
+            rate_meter: RateMeter::new(now_us),
+            waiters: HashMap::new(),
+            next_ticket: 0,
+        };
         Self { clock, state: Arc::new(Mutex::new(state)), call_queued: Arc::default() }
     }
 
@@ -102,6 +118,9 @@
     pub(crate) fn record_reported_load(&self, load: ReportedLoad) -> bool {
         let now_us = self.clock.now_us();
         let mut state = self.lock();
+        if let Some(factor) = load.slowdown() {
+            state.rate_meter.record_slowdown(now_us, factor);
+        }
         let was_learned = !state.slot_admission.is_limit_reported(now_us);
         let events = state.slot_admission.record_reported_load(now_us, load);
         state.notify_waiters(now_us, events);
@@ -118,6 +137,12 @@
         self.lock().slot_admission.load(now_us)
     }
 
+    /// Returns the rates of the upstream for other nodes.
+    pub(crate) fn rates(&self) -> VmRates {
+        let now_us = self.clock.now_us();
+        self.lock().rate_meter.rates(now_us)
+    }
+
     /// Refuses all queued calls.
     pub(crate) fn refuse_all(&self) {
         let now_us = self.clock.now_us();
@@ -141,6 +166,9 @@
             let (decision, events) =
                 state.slot_admission.offer(now_us, SlotRequest { ticket, ..request });
             state.notify_waiters(now_us, events);
+            if !matches!(decision, Decision::Refuse { .. }) {
+                state.rate_meter.record_arrival(now_us);
+            }
             match decision {
                 Decision::Admit => return Ok(self.permit(call)),
                 Decision::Refuse { wait_us, cause } => {
@@ -191,7 +219,7 @@
     fn complete(&self, call: RunningCall, end: CallEnd) {
         let now_us = self.clock.now_us();
         let mut state = self.lock();
-        let events = state.slot_admission.complete(now_us, call, end);
+        let events = state.complete(now_us, call, end);
         state.notify_waiters(now_us, events);
     }
 
@@ -217,10 +245,11 @@
         let mut state = self.slot_queue.lock();
         state.waiters.remove(&self.ticket);
         if state.slot_admission.cancel(self.ticket) {
+            state.rate_meter.record_end(now_us);
             return;
         }
         if let Ok(Ok(call)) = self.result.try_recv() {
-            let events = state.slot_admission.complete(now_us, call, CallEnd::Other);
+            let events = state.complete(now_us, call, CallEnd::Other);
             state.notify_waiters(now_us, events);
         }
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,16 +5,18 @@
 //! simulations can run the logic deterministically.
 //!
 //! The sidecar (crate `node`) uses [`admission`], [`routing`], [`shed`] and the retry allowance and
-//! budget of a profile. The mesh (crate `mesh`) uses [`slots`], [`named_limit`], [`placement`], [`overload`],
+//! budget of a profile. The mesh (crate `mesh`) uses [`slots`], [`named_limit`], [`balancer`], [`overload`],
 //! [`weighted_split`], [`run_table`], [`retry_cost`], [`control_order`] and the retry budget shared by all nodes. Both use
 //! [`quarantine`] and [`request_digest`].
 
 pub mod admission;
+pub mod balancer;
 pub mod burn;
 pub mod control_order;
 pub mod critical_reserve;
 pub mod decaying_mean;
 mod demand;
+pub mod estimated_load;
 pub mod limit;
 pub mod named_limit;
 pub mod overload;
@@ -32,6 +34,7 @@
 pub mod shared_retry_budget;
 pub mod shed;
 pub mod slots;
+pub mod vm_rates;
 pub mod weighted_split;
 
 /// Microseconds in a millisecond.
--- a/crates/policy/src/reported_load.rs
+++ b/crates/policy/src/reported_load.rs
@@ -12,6 +12,8 @@
 
 /// Maximum number of slots in a report that is believed.
 pub const MAX_REPORTED_SLOTS: u32 = 100_000;
+/// Maximum slowdown factor in a report that is believed.
+pub const MAX_SLOWDOWN: f64 = 100.0;
 /// Time for which a report is used, in microseconds. Afterwards the limit is learned again.
 const REPORT_TTL_US: u64 = 2 * US_PER_S;
 
@@ -21,6 +23,8 @@
     running: u32,
     waiting: u32,
     slots: u32,
+    /// How long work takes now, in thousandths of the usual time.
+    slowdown_permille: Option<u32>,
 }
 
 impl ReportedLoad {
@@ -28,7 +32,21 @@
     /// [`MAX_REPORTED_SLOTS`], or with more running calls than slots.
     pub fn new(running: u32, waiting: u32, slots: u32) -> Option<Self> {
         let is_consistent = (1..=MAX_REPORTED_SLOTS).contains(&slots) && running <= slots;
-        is_consistent.then_some(Self { running, waiting, slots })
+        is_consistent.then_some(Self { running, waiting, slots, slowdown_permille: None })
+    }
+
+    /// Sets the slowdown factor: how long work takes now, 1.0 as usual. A factor that is not above
+    /// zero, above [`MAX_SLOWDOWN`] or not a number is ignored.
+    #[must_use]
+    pub fn with_slowdown(self, factor: f64) -> Self {
+        let permille = (factor * 1_000.0).round();
+        let is_valid = factor <= MAX_SLOWDOWN && permille >= 1.0;
+        Self { slowdown_permille: is_valid.then_some(permille as u32), ..self }
+    }
+
+    /// Returns the slowdown factor, 1.0 as usual. `None` if the upstream reported none.
+    pub fn slowdown(self) -> Option<f64> {
+        self.slowdown_permille.map(|permille| f64::from(permille) / 1_000.0)
     }
 
     /// Returns the number of slots.
