--- a/crates/policy/tests/estimated_load/scenarios.rs
+++ b/crates/policy/tests/estimated_load/scenarios.rs
@@ -30,8 +30,16 @@
         ("300", large()),
         ("wave", wave()),
         ("burst", burst()),
+        ("over", overload()),
+        ("overj", Scenario { speed_at: jumping_speed, demand: 0.85, ..Scenario::default() }),
+        ("stuck", stuck()),
     ] {
         let small = |ranking| simulate(&scenario, |_| SmallPolicy::new(ranking, scenario.nodes));
+        if std::env::var("ONLY").is_ok() {
+            let o = estimated(&scenario);
+            println!("{name:6} refused {:5} wrong {:5} byvm {:6} p99w {:6} p99l {:6} busiest {:.3} 1s {:.3} crossed {}", o.refused, o.refused_with_room, o.refusals_by_vms, o.p99_wait_us, o.p99_latency_us, o.busiest, o.busiest_in_a_second, o.crossed);
+            continue;
+        }
         for (policy, outcome) in [
             ("estimated", estimated(&scenario)),
             ("two", two_choices(&scenario)),
@@ -121,3 +129,14 @@
         ..Scenario::default()
     }
 }
+
+fn overload() -> Scenario {
+    Scenario { demand: 1.4, duration_us: 5 * S, measure_from_us: S, ..Scenario::default() }
+}
+
+fn stuck() -> Scenario {
+    Scenario {
+        speed_at: |now_us, vm| if vm == 0 && (3 * S..7 * S).contains(&now_us) { 0.0 } else { 1.0 },
+        ..Scenario::default()
+    }
+}
