--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -11,6 +11,7 @@
 mod account_access;
 mod account_quotas;
 mod attachment;
+mod balancing_monitor;
 mod body;
 mod broken_answers;
 mod call;
--- a/crates/mesh/src/server.rs
+++ b/crates/mesh/src/server.rs
@@ -15,6 +15,7 @@
 
 use crate::account_quotas::AccountQuotas;
 use crate::attachment::{Attachment, AttachmentParts, SharedControlAddresses};
+use crate::balancing_monitor::BalancingMonitor;
 use crate::caller_listener::CallerHandler;
 use crate::configuration_holder::ConfigurationHolder;
 use crate::configuration_lease::ConfigurationLease;
@@ -172,7 +173,7 @@
         let pool = ConnectionPool::new(clock);
         let vm = settings.vm.name.clone();
         let endpoints = EndpointTable::new(log.clone(), settings.vm.data_centre.clone());
-        let endpoints = Arc::new(endpoints);
+        let endpoints = Arc::new(endpoints.with_balancing(settings.balancing));
         let upstream_state = Arc::new(UpstreamState::new());
         let suspects = Suspects::new(log.clone(), clock, vm.clone(), Arc::clone(&metrics));
         let suspects = Arc::new(suspects);
@@ -227,6 +228,7 @@
             Arc::clone(&metrics),
         );
         let dispatcher = Arc::new(Dispatcher {
+            balancing_monitor: BalancingMonitor::new(log.clone(), Arc::clone(&metrics)),
             clock,
             vm: settings.vm.clone(),
             ingress: Arc::clone(&ingress),
