Lend part of the tolerated excess of quotas

Change: 0.6 of the excess and slack that the deployment tolerates is lent; the rest covers shares that are rounded up to one request.

--- a/crates/mesh/src/server.rs
+++ b/crates/mesh/src/server.rs
@@ -220,7 +220,11 @@
             shared_failures: Arc::clone(&shared_failures),
         }));
         let request_log = Arc::new(RequestLog::new(log.clone(), clock));
-        let quotas = AccountQuotas::new(Arc::clone(&request_log), Arc::clone(&metrics));
+        let quotas = AccountQuotas::new(
+            Arc::clone(&request_log),
+            Arc::clone(&metrics),
+            settings.quota_tolerance,
+        );
         let throttles = RequestThrottles::new(
             log.clone(),
             clock,
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use model::{ServiceName, Vm};
+use model::{Quota, ServiceName, Vm};
 use policy::shared_retry_budget::RetryBounds;
 use serde::Deserialize;
 
@@ -26,6 +26,34 @@
     EstimatedLoad,
 }
 
+/// Excess over the quota of a client account that the deployment tolerates, in any window of time.
+/// Part of it is lent to nodes: the rate and burst of a small account, divided among several nodes,
+/// would otherwise refuse requests that are within the quota.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct QuotaTolerance {
+    /// Tolerated excess as a share of the quota.
+    pub excess: f64,
+    /// Tolerated excess in requests.
+    pub slack: f64,
+}
+
+impl QuotaTolerance {
+    /// Tolerance of a deployment that states none.
+    pub const NONE: Self = Self { excess: 0.0, slack: 0.0 };
+    /// Part of the tolerance that is lent. The rest covers nodes whose share of the burst is less
+    /// than a request and is rounded up, and clock drift.
+    const LENT_PART: f64 = 0.6;
+
+    /// Returns the quota that nodes may use together.
+    pub(crate) fn lent_quota(self, quota: Quota) -> Quota {
+        let factor = 1.0 + Self::LENT_PART * self.excess;
+        Quota {
+            rate_per_s: quota.rate_per_s * factor,
+            burst: quota.burst * factor + Self::LENT_PART * self.slack,
+        }
+    }
+}
+
 /// Settings of a mesh node.
 #[derive(Debug, Clone)]
 pub struct MeshSettings {
@@ -58,6 +86,8 @@
     pub failure_evidence: FailureEvidence,
     /// How the node chooses the VM of a call.
     pub balancing: Balancing,
+    /// Excess over the quotas of client accounts that is tolerated.
+    pub quota_tolerance: QuotaTolerance,
     /// Maximum age of the last proof that the configuration is the newest one, for requests with a
     /// key, in milliseconds. `None` if no proof is required.
     pub max_configuration_age_ms: Option<u64>,
