--- a/crates/mesh/src/account_quotas.rs
+++ b/crates/mesh/src/account_quotas.rs
@@ -22,7 +22,7 @@
 use crate::failure::CallFailure;
 use crate::metrics::Metrics;
 use crate::request_log::RequestLog;
-use crate::settings::QuotaTolerance;
+use crate::settings::QuotaBound;
 
 /// Interval between requests for a report while an account has no room and its demand is reported
 /// already, in microseconds. A lost report or grant costs this long instead of a report interval.
@@ -118,7 +118,7 @@
 pub(crate) struct AccountQuotas {
     request_log: Arc<RequestLog>,
     metrics: Arc<Metrics>,
-    tolerance: QuotaTolerance,
+    bound: Option<QuotaBound>,
     accounts: RwLock<IndexMap<Arc<str>, Arc<AccountQuota>>>,
     /// Number of requests for a report at once.
     report_requests: watch::Sender<u64>,
@@ -128,12 +128,12 @@
     pub(crate) fn new(
         request_log: Arc<RequestLog>,
         metrics: Arc<Metrics>,
-        tolerance: QuotaTolerance,
+        bound: Option<QuotaBound>,
     ) -> Self {
         Self {
             request_log,
             metrics,
-            tolerance,
+            bound,
             accounts: RwLock::default(),
             report_requests: watch::channel(0).0,
         }
@@ -159,7 +159,7 @@
         let Some(quota) = account.quota.filter(|quota| quota.rate_per_s > 0.0) else {
             return Ok(());
         };
-        let quota = self.tolerance.lent_quota(quota);
+        let quota = self.bound.map_or(quota, |bound| bound.lent_quota(quota));
         let now_us = BootClock.now_us().ok_or_else(unavailable)?;
         let shared = self.account(now_us, &account.name, quota);
         let mut verdict = self.offer(now_us, &shared, quota);
--- a/crates/mesh/src/account_quotas/tests.rs
+++ b/crates/mesh/src/account_quotas/tests.rs
@@ -17,7 +17,6 @@
 use super::AccountQuotas;
 use crate::metrics::Metrics;
 use crate::request_log::RequestLog;
-use crate::settings::QuotaTolerance;
 
 const CLUSTER_ID: &str = "quota-test";
 const MAX_WAIT: Duration = Duration::from_millis(200);
@@ -34,7 +33,7 @@
 fn new_quotas() -> Arc<AccountQuotas> {
     let metrics = Arc::new(Metrics::new().expect("the metrics register"));
     let request_log = Arc::new(RequestLog::new(log(), Clock::new()));
-    Arc::new(AccountQuotas::new(request_log, metrics, QuotaTolerance::NONE))
+    Arc::new(AccountQuotas::new(request_log, metrics, None))
 }
 
 fn account(quota: Option<Quota>) -> ClientAccount {
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -55,5 +55,5 @@
         UpstreamPhase, UpstreamReport,
     },
     server::{MetricsError, ServerError, run},
-    settings::{Balancing, FailureEvidence, MeshSettings, QuotaTolerance, SettingsSource},
+    settings::{Balancing, FailureEvidence, MeshSettings, QuotaBound, SettingsSource},
 };
--- a/crates/mesh/src/server.rs
+++ b/crates/mesh/src/server.rs
@@ -223,7 +223,7 @@
         let quotas = AccountQuotas::new(
             Arc::clone(&request_log),
             Arc::clone(&metrics),
-            settings.quota_tolerance,
+            settings.quota_bound,
         );
         let throttles = RequestThrottles::new(
             log.clone(),
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -26,30 +26,38 @@
     EstimatedLoad,
 }
 
-/// Excess over the quota of a client account that the deployment tolerates, in any window of time.
-/// Part of it is lent to nodes: the rate and burst of a small account, divided among several nodes,
-/// would otherwise refuse requests that are within the quota.
+/// Bound that the deployment sets on the requests of a client account in any window of time, with
+/// the excess over the quota that it tolerates.
+///
+/// The quota of an account is divided among nodes. A small account would be refused requests that
+/// are within its quota if only its rate and its burst were lent, so part of the tolerated excess is
+/// lent too.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct QuotaTolerance {
+pub struct QuotaBound {
+    /// Length of the window, in seconds; above zero.
+    pub window_s: f64,
     /// Tolerated excess as a share of the quota.
     pub excess: f64,
     /// Tolerated excess in requests.
     pub slack: f64,
 }
 
-impl QuotaTolerance {
-    /// Tolerance of a deployment that states none.
-    pub const NONE: Self = Self { excess: 0.0, slack: 0.0 };
-    /// Part of the tolerance that is lent. The rest covers nodes whose share of the burst is less
-    /// than a request and is rounded up, and clock drift.
+impl QuotaBound {
+    /// Part of the tolerated excess that is lent. The rest covers shares of the burst that are rounded
+    /// up to one request, and the drift of clocks.
     const LENT_PART: f64 = 0.6;
+    /// Part of the requests of a window that is lent as a rate. The rest is lent as a burst. Nodes
+    /// that hold a share need the burst only for the unevenness of arrivals.
+    const RATE_PART: f64 = 0.9;
 
-    /// Returns the quota that nodes may use together.
+    /// Returns the rate and burst that nodes may use together. In any window they admit no more than
+    /// the requests of the quota and the lent part of the excess.
     pub(crate) fn lent_quota(self, quota: Quota) -> Quota {
-        let factor = 1.0 + Self::LENT_PART * self.excess;
+        let in_window = quota.rate_per_s * self.window_s + quota.burst;
+        let lent = in_window * (1.0 + Self::LENT_PART * self.excess) + Self::LENT_PART * self.slack;
         Quota {
-            rate_per_s: quota.rate_per_s * factor,
-            burst: quota.burst * factor + Self::LENT_PART * self.slack,
+            rate_per_s: lent * Self::RATE_PART / self.window_s,
+            burst: lent * (1.0 - Self::RATE_PART),
         }
     }
 }
@@ -86,8 +94,8 @@
     pub failure_evidence: FailureEvidence,
     /// How the node chooses the VM of a call.
     pub balancing: Balancing,
-    /// Excess over the quotas of client accounts that is tolerated.
-    pub quota_tolerance: QuotaTolerance,
+    /// Bound on the requests of client accounts with a quota. `None` if quotas are used as they are.
+    pub quota_bound: Option<QuotaBound>,
     /// Maximum age of the last proof that the configuration is the newest one, for requests with a
     /// key, in milliseconds. `None` if no proof is required.
     pub max_configuration_age_ms: Option<u64>,
