Print counts and logs if a replica gives no proofs before the fault

Cause: leader_that_is_cut_off_gives_no_proof timed out once in its setup, beside the tests of the platform on a busy machine, without a trace of which replica gave no proofs. An earlier run of proofs_arrive_soon_after_their_stamp found a node with one proof in its whole run; whether its replica was the frozen one is not known. Change: the setup prints the proofs of each replica and the logs of the replicas.

--- a/crates/testbed/tests/freshness_proofs.rs
+++ b/crates/testbed/tests/freshness_proofs.rs
@@ -206,8 +206,14 @@
     let nodes = Nodes::start(&cluster);
     let operator = Operator::start(&cluster);
     let has_proofs = |proofs: &Proofs| lock(proofs).len() >= MIN_PROOFS;
-    wait_until("every replica gives proofs", TIMEOUT, || nodes.proofs.iter().all(has_proofs))
-        .expect("proofs arrive");
+    let started =
+        wait_until("every replica gives proofs", TIMEOUT, || nodes.proofs.iter().all(has_proofs));
+    if let Err(error) = started {
+        let counts: Vec<usize> = nodes.proofs.iter().map(|proofs| lock(proofs).len()).collect();
+        let logs: Vec<String> =
+            cluster.controls.iter().map(|control| control.process.log_text()).collect();
+        panic!("{error}: {counts:?} proofs by replica\n{}", logs.join("\n"));
+    }
     let replica = begin(&cluster, leader);
     thread::sleep(SETTLE_TIME);
     let begin_us = now_us();
