Exchange results of cut routes at an interval of 1 ms for each node

Cause: with 300 entry nodes and seeds 2 to 4 the urgent chains returned 2.2 to 2.3 s after the end of the load; the requirement is 2 s. The one seed of the test hid it. Change: 1 ms instead of 1.5 ms for each node, at most 1,000 messages a second at a collector. A test replays four seeds with 300 entry nodes.

--- a/crates/policy/src/overload/shared.rs
+++ b/crates/policy/src/overload/shared.rs
@@ -55,8 +55,8 @@
 /// Minimum interval between two exchanges of an entry node, in microseconds.
 const MIN_EXCHANGE_INTERVAL_US: u64 = 250 * US_PER_MS;
 /// Interval between two exchanges, for each node, in microseconds. It limits the messages at
-/// a collector to 667 a second per reduced route.
-const EXCHANGE_INTERVAL_PER_NODE_US: u64 = 1_500;
+/// a collector to 1,000 a second per reduced route.
+const EXCHANGE_INTERVAL_PER_NODE_US: u64 = 1_000;
 /// Time after the last request of a route from which its results are no longer exchanged, in
 /// microseconds.
 const DEMAND_TTL_US: u64 = 2 * US_PER_S;
--- a/crates/policy/tests/shared_failures/main.rs
+++ b/crates/policy/tests/shared_failures/main.rs
@@ -177,3 +177,18 @@
     assert!(delays_us.iter().all(|us| (300_000..=800_000).contains(us)), "{delays_us:?}");
     assert!(delays_us.iter().any(|us| *us < 400_000), "{delays_us:?}");
 }
+/// With 300 entry nodes an urgent chain enters at each of them 1.3 times a second. Guards against
+/// times that only hold for one sequence of arrivals.
+#[test]
+fn admission_converges_for_several_seeds_with_300_entries() {
+    for seed in 1..5 {
+        let load = Scenario { seed, ..Scenario::rejecting(300, Evidence::Shared) };
+        let shared = replay(&load);
+        let reduced_s = shared.seconds_until(URGENT_CHAIN, 3 * S, |admitted| admitted < 0.1);
+        let returned_s = shared.seconds_until(URGENT_CHAIN, 11 * S, |admitted| admitted > 0.9);
+        println!("seed {seed}: reduced {reduced_s} s, returned {returned_s} s");
+        assert!(reduced_s <= 2.0, "seed {seed}: reduced after {reduced_s} s");
+        assert!(returned_s <= 2.0, "seed {seed}: returned {returned_s} s after the end");
+        assert!(shared.failed_share(CONVERGED_US) < MAX_FAILED_SHARE, "seed {seed}");
+    }
+}
