--- a/crates/mesh/src/dispatch.rs
+++ b/crates/mesh/src/dispatch.rs
@@ -11,10 +11,11 @@
 use policy::shared_retry_budget::RetryBounds;
 use slog::info;
 
+use crate::balancing_monitor::BalancingMonitor;
 use crate::body::CallBody;
 use crate::call::CallHead;
 use crate::connection_pool::ConnectionPool;
-use crate::endpoints::{ChosenVm, EndpointTable};
+use crate::endpoints::{ChosenVm, EndpointTable, NextVm};
 use crate::failure::CallFailure;
 use crate::ingress::{Answer, Ingress, NodeLoad};
 use crate::metrics::Metrics;
@@ -42,6 +43,7 @@
     pub(crate) retry_costs: Mutex<RetryCosts>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) request_log: Arc<RequestLog>,
+    pub(crate) balancing_monitor: BalancingMonitor,
 }
 
 /// Previous attempts of one call.
@@ -68,11 +70,15 @@
         self.record_request(&head);
         let mut history = AttemptHistory::default();
         let (mut head, mut body) = (head, body);
+        let mut is_refused = false;
         loop {
             let now_us = self.clock.now_us();
-            let chosen = self.endpoints.choose(now_us, &head.service, &history.tried);
-            let Some(chosen) = chosen else {
-                return history.into_result(CallFailure::not_run(Reason::NoEndpoint));
+            let chosen = match self.choose(&head, &history, is_refused) {
+                NextVm::Chosen(chosen) => chosen,
+                NextVm::NoneExpected(wait) => {
+                    history.add_expected_wait(wait);
+                    return history.into_result(CallFailure::not_run(no_vm_reason(is_refused)));
+                }
             };
             history.tried.push(chosen.vm.clone());
             let body_copy = body.try_clone();
@@ -102,13 +108,53 @@
             let Some(next) =
                 body_copy.filter(|_| self.may_retry(&head, &history, &failure, max_attempts))
             else {
+                self.record_refused_with_room(&head, &history, &failure);
                 return history.into_result(failure);
             };
+            is_refused = failure.reason == Reason::Overloaded && self.endpoints.expects_refusals();
             head.is_repeat |= history.upstream_attempts > 0;
             body = next;
         }
     }
 
+    /// Chooses the VM of the next attempt. After a refusal for lack of room, only a VM that is
+    /// expected to take the call is asked, if the balancer can tell.
+    fn choose(&self, head: &CallHead, history: &AttemptHistory, is_refused: bool) -> NextVm {
+        let now_us = self.clock.now_us();
+        let (service, tried) = (&head.service, &history.tried);
+        let next = match is_refused {
+            true => {
+                let max_wait_us = max_wait_us(head, now_us);
+                self.endpoints.choose_after_refusal(now_us, service, tried, max_wait_us)
+            }
+            false => {
+                let chosen = self.endpoints.choose(now_us, service, tried);
+                chosen.map_or(NextVm::NoneExpected(None), NextVm::Chosen)
+            }
+        };
+        if self.endpoints.expects_refusals()
+            && let NextVm::Chosen(chosen) = &next
+        {
+            self.balancing_monitor.record_choice(now_us, service, chosen);
+        }
+        next
+    }
+
+    fn record_refused_with_room(
+        &self,
+        head: &CallHead,
+        history: &AttemptHistory,
+        failure: &CallFailure,
+    ) {
+        let now_us = self.clock.now_us();
+        let max_wait_us = max_wait_us(head, now_us);
+        if failure.reason == Reason::Overloaded
+            && self.endpoints.has_room(now_us, &head.service, &history.tried, max_wait_us)
+        {
+            self.balancing_monitor.record_refused_with_room(now_us, &head.service);
+        }
+    }
+
     /// Records how many calls a run made, which is the cost of a retry of its kind.
     fn record_answer(&self, head: &CallHead, answer: &Answer) {
         if let Some(calls) = answer.calls.filter(|_| answer.status.is_success()) {
@@ -210,6 +256,11 @@
         }
     }
 
+    /// Adds the shortest expected wait of the VMs that were not asked.
+    fn add_expected_wait(&mut self, wait: Option<Duration>) {
+        self.shortest_wait = self.shortest_wait.into_iter().chain(wait).min();
+    }
+
     /// Returns the error response of an upstream if there is one, or else the last failure.
     ///
     /// The outcome is unknown if any attempt may have run, even if the last one was refused. The
@@ -229,6 +280,16 @@
     }
 }
 
+/// Returns the failure of a call for which no further VM is asked.
+fn no_vm_reason(is_refused: bool) -> Reason {
+    if is_refused { Reason::Overloaded } else { Reason::NoEndpoint }
+}
+
+/// Returns the longest useful wait of a call for a slot, in microseconds.
+fn max_wait_us(head: &CallHead, now_us: u64) -> u64 {
+    head.max_wait_us.min(head.deadline_us.saturating_sub(now_us))
+}
+
 /// Returns whether a response is an error that another upstream might not return.
 ///
 /// An upstream that exceeds its deadline responds with a timeout status, which is not retried
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -9,6 +9,7 @@
 //! nodes. A [`ProtocolAdapter`] defines header names, document formats and upstream notifications.
 
 mod attachment;
+mod balancing_monitor;
 mod body;
 mod broken_answers;
 mod call;
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -10,6 +10,9 @@
 /// longest deadlines.
 const LATENCY_BUCKETS_S: &[f64] = &[0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0];
 
+/// Upper bounds of the buckets of report ages, in seconds.
+const REPORT_AGE_BUCKETS_S: &[f64] = &[0.03, 0.1, 0.3, 1.0, 3.0, 10.0];
+
 /// Prefix of all metric names.
 const PREFIX: &str = "heatherweir_mesh_";
 
@@ -57,6 +60,12 @@
     pub(crate) announcements_ignored: IntCounter,
     pub(crate) refused_by_limit: IntCounter,
     pub(crate) reports_refused: IntCounter,
+    pub(crate) crossed_full: IntCounter,
+    pub(crate) crossed_failing: IntCounter,
+    pub(crate) crossed_no_vm: IntCounter,
+    pub(crate) refused_with_room: IntCounter,
+    pub(crate) choices_without_report: IntCounter,
+    pub(crate) choice_report_age: Histogram,
     pub(crate) latency: Histogram,
 }
 
@@ -89,6 +98,14 @@
                 .buckets(LATENCY_BUCKETS_S.to_vec()),
         )?;
         registry.register(Box::new(latency.clone()))?;
+        let choice_report_age = Histogram::with_opts(
+            HistogramOpts::new(
+                format!("{PREFIX}choice_report_age_seconds"),
+                "Age of the report behind a choice by estimated load",
+            )
+            .buckets(REPORT_AGE_BUCKETS_S.to_vec()),
+        )?;
+        registry.register(Box::new(choice_report_age.clone()))?;
         Ok(Self {
             requests: counter("requests_total", "Requests of callers and of the upstream")?,
             answered: counter("answered_total", "Requests that got an upstream's answer")?,
@@ -160,6 +177,27 @@
                 "announcements_ignored_total",
                 "Unreadable announcements in answers of the upstream",
             )?,
+            crossed_full: counter(
+                "crossed_full_total",
+                "Calls to other data centres since the own one has less room",
+            )?,
+            crossed_failing: counter(
+                "crossed_failing_total",
+                "Calls to other data centres since VMs of the own one fail",
+            )?,
+            crossed_no_vm: counter(
+                "crossed_no_vm_total",
+                "Calls to other data centres since the own one has no VM left to try",
+            )?,
+            refused_with_room: counter(
+                "refused_with_room_total",
+                "Calls refused while another VM was expected to have room",
+            )?,
+            choices_without_report: counter(
+                "choices_without_report_total",
+                "Choices by estimated load of a VM that had not reported",
+            )?,
+            choice_report_age,
             latency,
             registry,
         })
--- a/crates/mesh/src/server.rs
+++ b/crates/mesh/src/server.rs
@@ -14,6 +14,7 @@
 use tokio::task::JoinSet;
 
 use crate::attachment::{Attachment, AttachmentParts, SharedControlAddresses};
+use crate::balancing_monitor::BalancingMonitor;
 use crate::caller_listener::CallerHandler;
 use crate::configuration_holder::ConfigurationHolder;
 use crate::connection_pool::ConnectionPool;
@@ -191,6 +192,7 @@
             metrics: Arc::clone(&metrics),
         }));
         let dispatcher = Arc::new(Dispatcher {
+            balancing_monitor: BalancingMonitor::new(log.clone(), Arc::clone(&metrics)),
             clock,
             vm: settings.vm.clone(),
             ingress: Arc::clone(&ingress),
--- a/crates/policy/src/estimated_load.rs
+++ b/crates/policy/src/estimated_load.rs
@@ -24,6 +24,9 @@
 const DRAWN_VMS: usize = 3;
 /// Maximum number of draws for them; VMs that were tried or are unavailable are drawn in vain.
 const MAX_DRAWS: usize = 6;
+/// Cost, when VMs are compared, of an attempt of this node that has not ended. A VM that turns slow
+/// keeps a node's calls for longer, which the node sees before any report.
+const OWN_CALL_COST: f64 = 1.0;
 /// Interval at which the probabilities of the draws are computed again, in microseconds. The speeds
 /// behind them are means over seconds.
 const REFRESH_INTERVAL_US: u64 = 250 * US_PER_MS;
@@ -363,8 +366,12 @@
                 continue;
             }
             let cost = self.cost(now_us, index);
-            if best.is_none_or(|best| cost < best.cost) {
-                best = Some(Rated { index, cost });
+            let estimate = &self.candidates[index].estimate;
+            let deviation = estimate.cost_deviation(now_us, &self.prior);
+            let own_cost = OWN_CALL_COST * f64::from(estimate.own_in_flight);
+            let sample = cost + own_cost + deviation * random.next_normal();
+            if best.is_none_or(|best| sample < best.sample) {
+                best = Some(Rated { index, cost, sample });
             }
             compared += 1;
             if compared == DRAWN_VMS {
@@ -375,7 +382,9 @@
         best.or_else(|| {
             let usable = group.indices.iter().copied();
             let mut usable = usable.filter(|index| self.is_usable(now_us, *index, tried));
-            usable.next().map(|index| Rated { index, cost: self.cost(now_us, index) })
+            let index = usable.next()?;
+            let cost = self.cost(now_us, index);
+            Some(Rated { index, cost, sample: cost })
         })
     }
 
@@ -476,13 +485,21 @@
 #[derive(Debug, Clone, Copy)]
 struct Rated {
     index: usize,
+    /// Expected cost.
     cost: f64,
+    /// Sample of the cost, as uncertain as the estimate.
+    sample: f64,
 }
 
 /// Samples derived from one random number (SplitMix64).
 struct RandomSequence(u64);
 
 impl RandomSequence {
+    /// Returns a sample with mean 0 and variance 1 that is nearly normal (Irwin-Hall of 3).
+    fn next_normal(&mut self) -> f64 {
+        2.0 * (self.next_unit() + self.next_unit() + self.next_unit() - 1.5)
+    }
+
     /// Returns a sample from 0.0 inclusive to 1.0 exclusive.
     fn next_unit(&mut self) -> f64 {
         self.0 = self.0.wrapping_add(0x9E37_79B9_7F4A_7C15);
--- a/crates/policy/src/estimated_load/vm_estimate.rs
+++ b/crates/policy/src/estimated_load/vm_estimate.rs
@@ -18,6 +18,15 @@
 /// Factor on the mean service time for a VM that was never seen, so that nodes which all learn of a
 /// new VM at once do not send it more than they would send to a slow one.
 const UNSEEN_SLOWDOWN: f64 = 2.0;
+/// Time over which a VM measures its rates, in seconds.
+const RECENT_S: f64 = 0.2;
+/// Weight of the learned service time against the completions in that time, in completions.
+const SPEED_PRIOR_COMPLETIONS: f64 = 8.0;
+/// Time constant of a change of speed, in microseconds. Changes last 0.1 to 0.6 s.
+const SPEED_TIME_CONSTANT_US: f64 = 300.0 * US_PER_MS as f64;
+/// Minimum share of the variance of a VM's calls that a report leaves unknown, since reports take
+/// time to arrive and other nodes act on theirs at the same moment.
+const MIN_UNKNOWN_VARIANCE: f64 = 0.25;
 /// Time without a completion after which a VM with calls is stuck, in service times.
 const STUCK_SERVICE_TIMES: f64 = 10.0;
 /// Minimum of that time, in microseconds.
@@ -168,7 +177,20 @@
         };
         let weight = decay(now_us, report.received_us, LOAD_TIME_CONSTANT_US);
         // Own calls since the report are known whatever its age.
-        cost * weight + (mean_cost + sent_since / limit) * (1.0 - weight)
+        cost * weight
+            + (mean_cost + sent_since / limit) * (1.0 - weight)
+    }
+
+    /// Returns the standard deviation of the cost. Without a report since then, the calls of a VM
+    /// vary like a Poisson count after about a service time.
+    pub(super) fn cost_deviation(&self, now_us: u64, prior: &Prior) -> f64 {
+        let limit = self.limit(prior);
+        let Some(report) = self.report else { return (1.0 / limit).sqrt() };
+        let service_us = self.service_us(now_us, prior);
+        let age_us = now_us.saturating_sub(report.received_us) as f64;
+        let calls = report.calls_now(now_us, service_us).max(1.0);
+        let unknown = 1.0 - (-2.0 * age_us / service_us).exp();
+        (calls * unknown.max(MIN_UNKNOWN_VARIANCE)).sqrt() / limit
     }
 
     /// Returns the utilization that the last report states.
@@ -200,6 +222,7 @@
         let Some(rates) = self.rates else { return calls };
         let arrivals_per_us = f64::from(rates.arrivals_per_s) / US_PER_S as f64;
         let age_us = now_us.saturating_sub(self.received_us) as f64;
+        let service_us = self.current_service_us(age_us, service_us);
         let steady = arrivals_per_us * service_us;
         if calls <= limit {
             return settle(calls, steady, age_us / service_us);
@@ -217,6 +240,25 @@
     }
 }
 
+impl Report {
+    /// Returns the service time at the VM now. The reported busy slots and completions give that of
+    /// the last moments before the report (Little's law); it moves to the learned one with its age.
+    fn current_service_us(&self, age_us: f64, learned_us: f64) -> f64 {
+        let Some(rates) = self.rates.filter(|rates| rates.completions_per_s > 0) else {
+            return learned_us;
+        };
+        let busy = f64::from(self.load.in_flight.min(self.load.limit));
+        let completions = f64::from(rates.completions_per_s);
+        // A few completions say little.
+        let prior_us = learned_us * SPEED_PRIOR_COMPLETIONS;
+        let seen = completions * RECENT_S;
+        let recent_us = (busy / completions * US_PER_S as f64 * seen + prior_us)
+            / (seen + SPEED_PRIOR_COMPLETIONS);
+        let weight = (-age_us / SPEED_TIME_CONSTANT_US).exp();
+        recent_us.max(learned_us) * weight + learned_us * (1.0 - weight)
+    }
+}
+
 fn settle(calls: f64, steady: f64, service_times: f64) -> f64 {
     steady + (calls - steady) * (-service_times).exp()
 }
--- a/crates/policy/src/vm_rates.rs
+++ b/crates/policy/src/vm_rates.rs
@@ -3,9 +3,9 @@
 
 use crate::{US_PER_MS, US_PER_S};
 
-/// Time constant of the rates of arrivals and of completions, in microseconds. Demand that varies
-/// with a period of 15 s changes by less than a tenth within it.
-const RATE_TIME_CONSTANT_US: f64 = US_PER_S as f64;
+/// Time constant of the rates of arrivals and of completions, in microseconds: short enough to show
+/// that an upstream has turned slow for a fraction of a second.
+const RATE_TIME_CONSTANT_US: f64 = 0.2 * US_PER_S as f64;
 /// Time constant of the mean service time, in microseconds. Upstreams change their speed for 0.1 to
 /// 0.6 s at a time, which is over before another node can act on it.
 const SERVICE_TIME_CONSTANT_US: f64 = 2.0 * US_PER_S as f64;
