--- a/crates/policy/src/estimated_load.rs
+++ b/crates/policy/src/estimated_load.rs
@@ -327,8 +327,8 @@
             true => &mut self.local,
             false => &mut self.remote,
         };
-        let utilization = candidate.estimate.reported_utilization().unwrap_or(group.mean_cost);
-        group.mean_cost += MEAN_WEIGHT * (utilization - group.mean_cost);
+        let cost = candidate.estimate.reported_cost().unwrap_or(group.mean_cost);
+        group.mean_cost += MEAN_WEIGHT * (cost - group.mean_cost);
     }
 
     fn refresh(&mut self, now_us: u64) {
@@ -460,10 +460,13 @@
         load_cost + refused_cost + candidate.failure_cost(now_us)
     }
 
-    /// Returns the expected wait for a slot, in microseconds.
+    /// Returns the expected wait for a slot plus one standard deviation, in microseconds. Under
+    /// overload all VMs are just below the wait at which they refuse, and the next free place goes
+    /// to whoever asks first.
     fn wait_us(&self, now_us: u64, index: usize) -> u64 {
         let candidate = &self.candidates[index];
-        let cost = self.cost(now_us, index) - candidate.failure_cost(now_us);
+        let cost = self.cost(now_us, index) - candidate.failure_cost(now_us)
+            + candidate.estimate.cost_deviation(now_us, &self.prior);
         ((cost - 1.0).max(0.0) * self.prior.service_us) as u64
     }
 
--- a/crates/policy/src/estimated_load/vm_estimate.rs
+++ b/crates/policy/src/estimated_load/vm_estimate.rs
@@ -5,8 +5,9 @@
 use crate::{US_PER_MS, US_PER_S};
 
 /// Time constant of the weight of a reported load against the mean of the service, in microseconds.
-/// Rates that are reported with the load keep their meaning for about as long.
-const LOAD_TIME_CONSTANT_US: f64 = US_PER_S as f64;
+/// With 1 s, the 99th percentile of the wait under reports that arrive 2 s late was 29 ms instead of
+/// 17 ms in the simulation.
+const LOAD_TIME_CONSTANT_US: f64 = 0.5 * US_PER_S as f64;
 /// Time constant of the learned service time over the reports of a VM, in microseconds.
 const LEARNING_TIME_CONSTANT_US: f64 = 2.0 * US_PER_S as f64;
 /// Time constant of the confidence in a learned service time, in microseconds.
@@ -177,8 +178,7 @@
         };
         let weight = decay(now_us, report.received_us, LOAD_TIME_CONSTANT_US);
         // Own calls since the report are known whatever its age.
-        cost * weight
-            + (mean_cost + sent_since / limit) * (1.0 - weight)
+        cost * weight + (mean_cost + sent_since / limit) * (1.0 - weight)
     }
 
     /// Returns the standard deviation of the cost. Without a report since then, the calls of a VM
@@ -193,10 +193,10 @@
         (calls * unknown.max(MIN_UNKNOWN_VARIANCE)).sqrt() / limit
     }
 
-    /// Returns the utilization that the last report states.
-    pub(super) fn reported_utilization(&self) -> Option<f64> {
+    /// Returns the utilization that the last report states, with one call more.
+    pub(super) fn reported_cost(&self) -> Option<f64> {
         let load = self.report?.load;
-        Some(f64::from(load.in_flight + load.queued) / f64::from(load.limit.max(1)))
+        Some(f64::from(load.in_flight + load.queued + 1) / f64::from(load.limit.max(1)))
     }
 
     /// Returns whether the VM has calls and finishes none, by this node's own calls or by the
