Rename a ranking of the balancing comparison

Cause: clippy rejects a variant that ends with the name of its enum. Change: the variant is renamed.

--- a/crates/policy/tests/estimated_load/comparison.rs
+++ b/crates/policy/tests/estimated_load/comparison.rs
@@ -31,7 +31,7 @@
         run_all("two-choices", two_choices),
         run_all("least-loaded", small(Ranking::LeastLoaded)),
         run_all("latency-weighted", small(Ranking::LatencyWeighted)),
-        run_all("replica-ranking", small(Ranking::ReplicaRanking)),
+        run_all("replica-ranking", small(Ranking::ReplicaScore)),
     ];
     for other in others {
         assert!(worst < worst_wait_us(&other), "{new:?}, {other:?}");
--- a/crates/policy/tests/estimated_load/policies.rs
+++ b/crates/policy/tests/estimated_load/policies.rs
@@ -107,7 +107,7 @@
     Probing,
     /// C3: the lowest cubic score of queue and service time, with a rate per VM that grows with
     /// answers and falls with refusals.
-    ReplicaRanking,
+    ReplicaScore,
 }
 
 /// One of the small decisions.
@@ -242,7 +242,7 @@
                 self.probe(now_us, loads, random);
                 chosen.or_else(|| self.latency_weighted(tried, random))
             }
-            Ranking::ReplicaRanking => self.replica_ranked(now_us, tried),
+            Ranking::ReplicaScore => self.replica_ranked(now_us, tried),
         }?;
         self.known[index].own_in_flight += 1;
         Some(self.known[index].vm.clone())
