Let a new leader lend what its predecessors cannot have lent

Cause: a new leader lent nothing beyond held shares for 5 s. Change: the log entry that proves the leadership of a decision carries upper bounds of what is lent of each account; a new leader lends above them at once.

--- a/crates/control/src/quota_exchange.rs
+++ b/crates/control/src/quota_exchange.rs
@@ -6,7 +6,7 @@
 //! is bounded by the number of nodes. Demands whose batch fails are dropped, since reports repeat.
 
 use std::collections::HashMap;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use consensus::Term;
@@ -23,8 +23,9 @@
 use tokio::sync::mpsc::Sender;
 use tonic::transport::Channel;
 
+use crate::replica::ProposalReceiver;
 use crate::service::ServiceContext;
-use crate::state::Command;
+use crate::state::{Applied, Command, QuotaCeilings};
 
 /// Maximum number of grants that wait for the stream of a node. Grants for a node that reads slowly
 /// are dropped, since its next report gets new ones.
@@ -35,6 +36,8 @@
 const MAX_BATCH_NODES: usize = 256;
 /// Timeout of a batch. A commit takes a few milliseconds, and nodes report again after 200 ms.
 const BATCH_TIMEOUT: Duration = Duration::from_millis(500);
+/// Units of a ceiling in the replicated state that make the whole quota.
+const CEILING_UNITS: f64 = 1_000_000.0;
 /// Term of the first leader of a cluster. Terms only grow, so nothing was lent before it.
 const FIRST_TERM: Term = 1;
 
@@ -176,7 +179,7 @@
 /// led the cluster after the demands had arrived.
 ///
 /// The lender decides before the proof is committed: its state at the time of the decision then
-/// precedes the first commit of any later leader, whose waiting period covers the loans.
+/// precedes the first commit of any later leader, which applies the ceilings of the decision.
 pub(crate) async fn lend_as_leader(
     context: &ServiceContext,
     nodes: Vec<NodeQuotaDemands>,
@@ -186,47 +189,73 @@
         return None;
     }
     start_lender(context, term).await?;
-    let grants = decide(context, term, &nodes)?;
-    commit_proof(context, term).await?;
-    Some(grants)
+    let (grants, proof) = decide(context, term, &nodes)?;
+    proof.await.ok()?.ok()?;
+    is_leader(context, term).then_some(grants)
 }
 
 /// Creates the lender of a term after the first commit in it, unless there is one already.
+///
+/// The commit follows all commits of earlier leaders, so the ceilings that it returns bound what they
+/// have lent.
 async fn start_lender(context: &ServiceContext, term: Term) -> Option<()> {
     if context.quotas.lock_leader().as_ref().is_some_and(|leader| leader.term == term) {
         return Some(());
     }
-    commit_proof(context, term).await?;
+    let command = Command::LimitQuota(QuotaCeilings::new());
+    let Applied::LimitQuota(ceilings) = context.replica.propose(command).await.ok()? else {
+        return None;
+    };
+    if !is_leader(context, term) {
+        return None;
+    }
     let now_us = BootClock.now_us()?;
     let history = match term {
         FIRST_TERM => LeaderHistory::First,
         _ => LeaderHistory::Successor,
     };
+    let ceilings = ceilings
+        .iter()
+        .map(|(name, ceiling)| (Arc::from(name.as_str()), f64::from(*ceiling) / CEILING_UNITS));
     let mut leader = context.quotas.lock_leader();
     // Another batch may have created it while this one waited, also for a later term.
     if leader.as_ref().is_none_or(|leader| leader.term < term) {
-        info!(context.log, "quota-lender-started"; "term" => term, "history" => ?history);
-        *leader = Some(LeaderState { term, lender: QuotaLender::new(now_us, history) });
+        info!(context.log, "quota-lender-started"; "term" => term, "history" => ?history,
+            "lent_accounts" => ceilings.len());
+        let lender = QuotaLender::new(now_us, history).with_ceilings(ceilings);
+        *leader = Some(LeaderState { term, lender });
     }
     Some(())
 }
 
-/// Commits a log entry. Returns `None` if this replica does not lead in this term any more.
-async fn commit_proof(context: &ServiceContext, term: Term) -> Option<()> {
-    context.replica.propose(Command::Barrier).await.ok()?;
+fn is_leader(context: &ServiceContext, term: Term) -> bool {
     let view = context.replica.view();
-    (view.is_leader() && view.term == term).then_some(())
+    view.is_leader() && view.term == term
 }
 
+/// Decides the grants of a batch and proposes the ceilings that they change. The proposal is made
+/// under the lock of the lender, so that ceilings are committed in the order of the decisions.
 fn decide(
     context: &ServiceContext,
     term: Term,
     nodes: &[NodeQuotaDemands],
-) -> Option<Vec<NodeQuotaGrants>> {
+) -> Option<(Vec<NodeQuotaGrants>, ProposalReceiver)> {
     let mut leader = context.quotas.lock_leader();
     let leader = leader.as_mut().filter(|leader| leader.term == term)?;
     let now_us = BootClock.now_us()?;
-    Some(nodes.iter().map(|node| lend_to_node(&mut leader.lender, now_us, node)).collect())
+    let lender = &mut leader.lender;
+    let grants = nodes.iter().map(|node| lend_to_node(lender, now_us, node)).collect();
+    let changed = lender.take_changed_ceilings();
+    let command = match changed.is_empty() {
+        true => Command::Barrier,
+        false => Command::LimitQuota(
+            changed
+                .into_iter()
+                .map(|(name, ceiling)| (name.to_string(), (ceiling * CEILING_UNITS).ceil() as u32))
+                .collect(),
+        ),
+    };
+    Some((grants, context.replica.submit(command)))
 }
 
 fn lend_to_node(lender: &mut QuotaLender, now_us: u64, node: &NodeQuotaDemands) -> NodeQuotaGrants {
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -80,6 +80,9 @@
 
 type ProposalReply = oneshot::Sender<Result<Applied, ProposalError>>;
 
+/// Receiver of the result of a proposal.
+pub(crate) type ProposalReceiver = oneshot::Receiver<Result<Applied, ProposalError>>;
+
 /// Consensus message or request that the control thread handles.
 pub(crate) enum Input {
     Message { from: ReplicaId, from_address: String, message: Message },
@@ -129,9 +132,15 @@
 
     /// Proposes a command and waits until it is applied.
     pub(crate) async fn propose(&self, command: Command) -> Result<Applied, ProposalError> {
+        self.submit(command).await.unwrap_or(Err(ProposalError::Stopped))
+    }
+
+    /// Proposes a command before it returns, so that commands are proposed in the order of the calls.
+    /// The receiver gets the result once the command is applied.
+    pub(crate) fn submit(&self, command: Command) -> ProposalReceiver {
         let (reply, receiver) = oneshot::channel();
         self.input(Input::Propose { command, reply });
-        receiver.await.unwrap_or(Err(ProposalError::Stopped))
+        receiver
     }
 }
 
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -1,5 +1,6 @@
 //! Replicated state machine, which applies the commands of the log.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use quick_error::quick_error;
@@ -10,7 +11,13 @@
 use crate::profiles::{Change, ChangeResult, ProfileTable};
 
 /// Version of the snapshot format.
-const FORMAT_VERSION: u32 = 2;
+const FORMAT_VERSION: u32 = 3;
+/// Version of the snapshot format without quota ceilings.
+const FORMAT_WITHOUT_CEILINGS: u32 = 2;
+
+/// Upper bounds of the shares of quotas that are lent, in millionths by client account. Accounts of
+/// which nothing is lent are absent.
+pub type QuotaCeilings = BTreeMap<String, u32>;
 
 quick_error! {
     /// Failure to encode or decode a snapshot or a command.
@@ -42,6 +49,9 @@
     /// Leaves the state unchanged. Its commit proves that the leader is current, so the state read
     /// with it is the newest committed one.
     Barrier,
+    /// Sets the ceilings of client accounts; zero removes one. Its commit also proves that the leader
+    /// is current.
+    LimitQuota(QuotaCeilings),
 }
 
 impl Command {
@@ -68,6 +78,8 @@
     Configure(ConfigurationResult),
     /// Configurations at the time when the barrier was applied.
     Barrier(Arc<ConfigurationTable>),
+    /// Ceilings of quotas after the change.
+    LimitQuota(Arc<QuotaCeilings>),
 }
 
 /// Replicated state: profiles, claims and the configuration.
@@ -76,6 +88,7 @@
     profiles: Arc<ProfileTable>,
     claims: ClaimTable,
     configurations: Arc<ConfigurationTable>,
+    quota_ceilings: Arc<QuotaCeilings>,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -84,6 +97,7 @@
     profiles: Arc<ProfileTable>,
     claims: ClaimTable,
     configurations: Arc<ConfigurationTable>,
+    // The quota ceilings follow in snapshots of the current version.
 }
 
 impl State {
@@ -96,14 +110,17 @@
         if data.is_empty() {
             return Ok(Self::default());
         }
-        let stored: StoredState = postcard::from_bytes(data)?;
-        if stored.version != FORMAT_VERSION {
-            return Err(StateError::Version(stored.version));
-        }
+        let (stored, rest): (StoredState, _) = postcard::take_from_bytes(data)?;
+        let quota_ceilings = match stored.version {
+            FORMAT_VERSION => postcard::from_bytes(rest)?,
+            FORMAT_WITHOUT_CEILINGS => QuotaCeilings::new(),
+            version => return Err(StateError::Version(version)),
+        };
         Ok(Self {
             profiles: stored.profiles,
             claims: stored.claims,
             configurations: stored.configurations,
+            quota_ceilings: Arc::new(quota_ceilings),
         })
     }
 
@@ -119,7 +136,9 @@
             claims: self.claims.clone(),
             configurations: Arc::clone(&self.configurations),
         };
-        Ok(postcard::to_stdvec(&stored)?)
+        let mut data = postcard::to_stdvec(&stored)?;
+        data.extend(postcard::to_stdvec(&*self.quota_ceilings)?);
+        Ok(data)
     }
 
     /// Decodes and applies a committed command.
@@ -138,6 +157,12 @@
                 Applied::Configure(Arc::make_mut(&mut self.configurations).apply(change))
             }
             Command::Barrier => Applied::Barrier(Arc::clone(&self.configurations)),
+            Command::LimitQuota(changed) => {
+                let ceilings = Arc::make_mut(&mut self.quota_ceilings);
+                ceilings.extend(changed);
+                ceilings.retain(|_, ceiling| *ceiling > 0);
+                Applied::LimitQuota(Arc::clone(&self.quota_ceilings))
+            }
         };
         Ok(applied)
     }
--- a/crates/policy/src/quota_lender.rs
+++ b/crates/policy/src/quota_lender.rs
@@ -5,6 +5,11 @@
 //! to the largest of them, until a report shows that the node works with a later grant or until the
 //! loans have ended. Times are on the lender's boot clock, stamps of reports on that of the node; the
 //! lender never compares the two.
+//!
+//! The leader commits an upper bound of what is lent of each account, its ceiling, before a node
+//! receives the loans. A new leader knows by the ceilings what its predecessors cannot have lent, and
+//! lends that without waiting for their loans to end. Load pattern: replicas fail while callers begin
+//! to send, so that most nodes hold no share yet.
 
 use std::sync::Arc;
 
@@ -30,6 +35,12 @@
 const LENT_SUM: f64 = 0.85;
 /// Interval between two sweeps over all accounts, in microseconds.
 const SWEEP_INTERVAL_US: u64 = US_PER_S;
+/// Step of ceilings. A ceiling that is rounded up to it changes seldom, so that most loans commit no
+/// change of it.
+const CEILING_STEP: f64 = 0.05;
+/// Time after the end of the loans of predecessors after which the accounts for which no node has
+/// asked since are forgotten, in microseconds. Longer than usual bursts take to refill.
+const FORGOTTEN_US: u64 = 600 * US_PER_S;
 /// Pool from which an account that has no loans is forgotten.
 const FULL_POOL: f64 = 1.0 - 1e-9;
 
@@ -62,6 +73,15 @@
     Successor,
 }
 
+/// Whether loans of predecessors may still be in use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    /// They may.
+    Inheriting,
+    /// All loans in use are known.
+    Regular,
+}
+
 /// Grant that the node may apply or has applied.
 #[derive(Debug, Clone, Copy)]
 struct SentGrant {
@@ -79,6 +99,8 @@
     /// Time after which the demand no longer counts.
     demand_end_us: u64,
     grants: Vec<SentGrant>,
+    /// Share that was lent to the node beyond the inherited one.
+    beyond_inherited: f64,
 }
 
 impl Loan {
@@ -123,6 +145,12 @@
     pool_tokens: f64,
     pool_us: u64,
     loans: IndexMap<Arc<str>, Loan>,
+    /// Share that predecessors may have lent.
+    inherited: f64,
+    /// Share that was lent beyond the inherited one while the loans of predecessors may be in use.
+    lent_beyond_inherited: f64,
+    /// Ceiling as it was last handed out to be committed.
+    ceiling: f64,
 }
 
 impl Account {
@@ -130,11 +158,34 @@
         self.loans.values().map(Loan::bound).sum()
     }
 
+    /// Returns the share that nobody can hold.
+    fn unlent(&self, phase: Phase) -> f64 {
+        let lent = match phase {
+            Phase::Inheriting => self.inherited + self.lent_beyond_inherited,
+            Phase::Regular => self.lent(),
+        };
+        (1.0 - lent).max(0.0)
+    }
+
+    /// Returns the new ceiling if it has changed.
+    fn changed_ceiling(&mut self, phase: Phase) -> Option<f64> {
+        let lent = 1.0 - self.unlent(phase);
+        // Zero stands for an account whose pool is full, which this one need not be.
+        let ceiling = ((lent / CEILING_STEP).ceil() * CEILING_STEP).clamp(CEILING_STEP, 1.0);
+        let is_raised = lent > self.ceiling;
+        let is_lowered = ceiling < self.ceiling - CEILING_STEP;
+        if !is_raised && !is_lowered {
+            return None;
+        }
+        self.ceiling = ceiling;
+        Some(ceiling)
+    }
+
     /// Refills the pool at the share that was unlent until now, then removes ended loans.
-    fn advance(&mut self, now_us: u64) {
+    fn advance(&mut self, now_us: u64, phase: Phase) {
         let elapsed_s = now_us.saturating_sub(self.pool_us) as f64 / US_PER_S as f64;
         self.pool_us = self.pool_us.max(now_us);
-        let unlent = (1.0 - self.lent()).max(0.0);
+        let unlent = self.unlent(phase);
         let refilled = self.pool_tokens + unlent * self.refill_per_s * elapsed_s;
         self.pool_tokens = refilled.min(unlent);
         for loan in self.loans.values_mut() {
@@ -189,6 +240,10 @@
     history: LeaderHistory,
     swept_us: u64,
     accounts: IndexMap<Arc<str>, Account>,
+    /// Ceilings that predecessors have committed.
+    inherited: IndexMap<Arc<str>, f64>,
+    /// Ceilings that have changed since they were handed out last.
+    changed_ceilings: IndexMap<Arc<str>, f64>,
 }
 
 impl QuotaLender {
@@ -201,7 +256,26 @@
                 first_commit_us.saturating_add(LOAN_US).saturating_add(CLOCK_MARGIN_US)
             }
         };
-        Self { lendable_us, history, swept_us: first_commit_us, accounts: IndexMap::new() }
+        Self {
+            lendable_us,
+            history,
+            swept_us: first_commit_us,
+            accounts: IndexMap::new(),
+            inherited: IndexMap::new(),
+            changed_ceilings: IndexMap::new(),
+        }
+    }
+
+    /// Sets the ceilings that predecessors have committed. An account without one counts as not lent.
+    pub fn with_ceilings(self, ceilings: impl IntoIterator<Item = (Arc<str>, f64)>) -> Self {
+        Self { inherited: ceilings.into_iter().collect(), ..self }
+    }
+
+    /// Returns the ceilings that have changed since the last call, to be committed before a node
+    /// receives a grant of the same or a later decision. Entries must be committed in the order of the
+    /// calls. A ceiling of zero removes the account.
+    pub fn take_changed_ceilings(&mut self) -> IndexMap<Arc<str>, f64> {
+        std::mem::take(&mut self.changed_ceilings)
     }
 
     /// Records the demand of a node and returns its grant. `None` if the report is older than one that
@@ -225,15 +299,20 @@
             return None;
         }
         self.sweep_if_due(now_us);
-        let is_waiting = now_us < self.lendable_us;
-        let pool_tokens = self.initial_pool(now_us, demand.refill_per_s);
+        let phase = self.phase(now_us);
+        let inherited = self.inherited.get(account).copied().unwrap_or(0.0);
+        let pool_tokens = self.initial_pool(now_us, inherited, demand.refill_per_s);
+        let name = account;
         let (_, account) = entry(&mut self.accounts, account, || Account {
             refill_per_s: demand.refill_per_s,
             pool_tokens,
             pool_us: now_us,
             loans: IndexMap::new(),
+            inherited,
+            lent_beyond_inherited: 0.0,
+            ceiling: inherited,
         });
-        account.advance(now_us);
+        account.advance(now_us, phase);
         account.refill_per_s = demand.refill_per_s;
         let (index, loan) = entry(&mut account.loans, reporter.vm, || Loan {
             incarnation: reporter.incarnation,
@@ -241,6 +320,7 @@
             wanted_share: 0.0,
             demand_end_us: 0,
             grants: Vec::new(),
+            beyond_inherited: 0.0,
         });
         match reporter.incarnation.cmp(&loan.incarnation) {
             std::cmp::Ordering::Less => return None,
@@ -255,20 +335,40 @@
         loan.report_us = reporter.report_us;
         loan.wanted_share = demand.wanted_share.min(1.0);
         loan.demand_end_us = now_us + LOAN_US;
-        if is_waiting {
-            return Some(renew(now_us, reporter, loan, demand));
+        if phase == Phase::Inheriting {
+            // The share that the node reports is a loan of a predecessor or of this leader; it is part
+            // of the ceiling either way.
+            renew(now_us, reporter, loan, demand);
         }
-        let unlent = (1.0 - account.lent()).max(0.0);
+        let unlent = account.unlent(phase);
         account.pool_tokens = (account.pool_tokens + demand.returned_burst_share).min(unlent);
-        let grant = decide(account, index, demand.wanted_burst_share);
+        let mut grant = decide(account, index, demand.wanted_burst_share, unlent);
+        if phase == Phase::Inheriting {
+            // What the node holds, or was lent beyond the inherited share, counts as lent already. The
+            // bound of its grants does not: a delayed report may have renewed a loan that has ended.
+            let loan = &mut account.loans[index];
+            let counted = loan.beyond_inherited.max(demand.held_share.min(1.0));
+            // A reduction would be of use to nobody until the loans of predecessors have ended.
+            grant.share = grant.share.max(demand.held_share.min(1.0)).min(counted + unlent);
+            let raise = (grant.share - counted).max(0.0);
+            loan.beyond_inherited += raise;
+            account.lent_beyond_inherited += raise;
+        }
         account.pool_tokens -= grant.initial_burst_share;
         let end_us = now_us + LOAN_US + CLOCK_MARGIN_US;
         let sent = SentGrant { report_us: reporter.report_us, share: grant.share, end_us };
         account.loans[index].push(sent);
-        account.pool_tokens = account.pool_tokens.min((1.0 - account.lent()).max(0.0));
+        account.pool_tokens = account.pool_tokens.min(account.unlent(phase));
+        if let Some(ceiling) = account.changed_ceiling(phase) {
+            self.changed_ceilings.insert(Arc::from(name), ceiling);
+        }
         Some(grant)
     }
 
+    fn phase(&self, now_us: u64) -> Phase {
+        if now_us < self.lendable_us { Phase::Inheriting } else { Phase::Regular }
+    }
+
     /// Returns all accounts with their holders.
     pub fn loans(&self) -> impl Iterator<Item = AccountLoans> {
         self.accounts.iter().map(|(name, account)| AccountLoans {
@@ -279,14 +379,15 @@
     }
 
     /// Returns the tokens in the pool of an account that the lender knows nothing of: all at the first
-    /// leader, and at a later one what has been refilled since the loans of its predecessors ended.
-    fn initial_pool(&self, now_us: u64, refill_per_s: f64) -> f64 {
+    /// leader and for an account of which nothing was lent, and otherwise what has been refilled since
+    /// the loans of the predecessors ended.
+    fn initial_pool(&self, now_us: u64, inherited: f64, refill_per_s: f64) -> f64 {
         match self.history {
-            LeaderHistory::First => 1.0,
-            LeaderHistory::Successor => {
+            LeaderHistory::Successor if inherited > 0.0 => {
                 let elapsed_us = now_us.saturating_sub(self.lendable_us);
                 (refill_per_s * elapsed_us as f64 / US_PER_S as f64).min(1.0)
             }
+            LeaderHistory::First | LeaderHistory::Successor => 1.0,
         }
     }
 
@@ -296,9 +397,25 @@
             return;
         }
         self.swept_us = now_us;
-        self.accounts.retain(|_, account| {
-            account.advance(now_us);
-            !account.loans.is_empty() || account.pool_tokens < FULL_POOL
+        let phase = self.phase(now_us);
+        if now_us.saturating_sub(self.lendable_us) >= FORGOTTEN_US {
+            for (name, _) in self.inherited.drain(..) {
+                if !self.accounts.contains_key(&name) {
+                    self.changed_ceilings.insert(name, 0.0);
+                }
+            }
+        }
+        let (changed_ceilings, inherited) = (&mut self.changed_ceilings, &mut self.inherited);
+        self.accounts.retain(|name, account| {
+            account.advance(now_us, phase);
+            let is_kept = phase == Phase::Inheriting
+                || !account.loans.is_empty()
+                || account.pool_tokens < FULL_POOL;
+            if !is_kept {
+                changed_ceilings.insert(Arc::clone(name), 0.0);
+                inherited.swap_remove(name);
+            }
+            is_kept
         });
     }
 }
@@ -316,20 +433,18 @@
     (index, &mut map[index])
 }
 
-/// Renews the share that a node reports as held. The node ignores the grant if its loan has ended
-/// meanwhile.
-fn renew(now_us: u64, reporter: Reporter<'_>, loan: &mut Loan, demand: &ShareDemand) -> Grant {
+/// Records the share that a node reports as held while loans of predecessors may be in use. The node
+/// ignores a grant that renews it if its loan has ended meanwhile.
+fn renew(now_us: u64, reporter: Reporter<'_>, loan: &mut Loan, demand: &ShareDemand) {
     let share = demand.held_share.min(1.0);
     let end_us = now_us + LOAN_US + CLOCK_MARGIN_US;
     loan.push(SentGrant { report_us: reporter.report_us, share, end_us });
-    Grant { share, initial_burst_share: 0.0 }
 }
 
 /// Returns the grant of a node from the wanted shares of all and from what is not lent.
-fn decide(account: &Account, index: usize, wanted_burst_share: f64) -> Grant {
+fn decide(account: &Account, index: usize, wanted_burst_share: f64, unlent: f64) -> Grant {
     let wanted_share = account.loans[index].wanted_share;
     let bound = account.loans[index].bound();
-    let unlent = (1.0 - account.lent()).max(0.0);
     let target = account.target(wanted_share);
     if target <= bound {
         let is_calm = account.wanted_sum() <= CALM_SUM;
--- a/crates/policy/tests/quotas/loads.rs
+++ b/crates/policy/tests/quotas/loads.rs
@@ -394,6 +394,28 @@
     assert!(lent.total().loss() <= fixed.total().loss());
 }
 
+/// Guards against a leader that fails while callers begin to send: most nodes hold no share yet, and
+/// a new leader that lends only what is held refuses their callers for a loan period.
+#[test]
+fn a_leader_fails_while_callers_begin() {
+    const RATE_PER_S: f64 = 182.0;
+    const CALLERS_START_US: u64 = 5 * SECOND;
+    let rate = |node: usize, at_us: u64| {
+        let start_us = node as u64 * CALLERS_START_US / NODE_COUNT as u64;
+        if at_us >= start_us { USUAL_PART * RATE_PER_S / NODE_COUNT as f64 } else { 0.0 }
+    };
+    let events = [(SECOND, Event::ChangeLeader)];
+    let load = Load {
+        node_count: NODE_COUNT,
+        duration_us: 8 * SECOND,
+        events: &events,
+        ..load(RATE_PER_S, &rate)
+    };
+    let (lent, fixed) = compare(&load);
+    assert!(lent.tally(1..6).loss() <= 0.05, "{}", lent.tally(1..6).loss());
+    assert!(lent.total().loss() <= fixed.total().loss());
+}
+
 /// Guards against a dead node's share that is lost for longer than its loan.
 #[test]
 fn the_share_of_a_dead_holder_is_lent_after_its_loan() {
@@ -409,8 +431,8 @@
     assert!(fixed.tally(11..20).loss() > 0.5);
 }
 
-/// Guards against callers that are refused because the leader changes. The new leader lends nothing
-/// beyond the held shares for a loan period, so the pool serves no single requests until then.
+/// Guards against callers that are refused because the leader changes. For a loan period the new
+/// leader lends only what its predecessor cannot have lent.
 #[test]
 fn a_leader_changes_in_the_middle_of_a_burst() {
     const RATE_PER_S: f64 = 90.0;
--- a/crates/policy/tests/quotas/rules.rs
+++ b/crates/policy/tests/quotas/rules.rs
@@ -121,10 +121,49 @@
     assert!(freed.initial_burst_share < 1e-3, "used tokens came back: {freed:?}");
 }
 
+fn successor(ceiling: f64) -> QuotaLender {
+    QuotaLender::new(START_US, LeaderHistory::Successor)
+        .with_ceilings([("account".into(), ceiling)])
+}
+
+/// Guards against a new leader that lends nothing for a loan period although its predecessors
+/// cannot have lent all of the quota.
+#[test]
+fn a_new_leader_lends_what_its_predecessors_cannot_have_lent() {
+    let mut lender = successor(0.4);
+    let held = lend(&mut lender, START_US, "vm-1", demand(0.2, 0.3, 7)).expect("a grant");
+    assert_eq!(held.share, 0.3);
+    let new = lend(&mut lender, START_US, "vm-2", demand(1.0, 0.0, 0)).expect("a grant");
+    assert!((new.share - 0.6).abs() < 1e-9, "{new:?}");
+    assert_eq!(new.initial_burst_share, 0.0);
+    let third = lend(&mut lender, START_US, "vm-3", demand(1.0, 0.0, 0)).expect("a grant");
+    assert_eq!(third.share, 0.0);
+    assert_eq!(lender.take_changed_ceilings().get("account"), Some(&1.0));
+}
+
+/// Guards against ceilings below what is lent, and against a log entry for each loan.
+#[test]
+fn ceilings_bound_what_is_lent_and_change_seldom() {
+    let mut lender = QuotaLender::new(START_US, LeaderHistory::First);
+    let mut changes = 0;
+    for step in 0..100 {
+        let wanted = 0.2 + 0.001 * f64::from(step);
+        let now_us = START_US + u64::from(step as u32) * 1_000;
+        lend(&mut lender, now_us, "vm-1", demand(wanted, 0.0, 0)).expect("a grant");
+        let lent: f64 = lender.loans().flat_map(|loans| loans.shares).map(|(_, share)| share).sum();
+        let ceilings = lender.take_changed_ceilings();
+        changes += ceilings.len();
+        if let Some(ceiling) = ceilings.get("account") {
+            assert!(*ceiling >= lent - 1e-9, "ceiling {ceiling}, lent {lent}");
+        }
+    }
+    assert!((1..=5).contains(&changes), "{changes}");
+}
+
 /// Guards against a new leader that lends what an earlier one has lent.
 #[test]
-fn a_new_leader_renews_held_shares_and_lends_nothing_else() {
-    let mut lender = QuotaLender::new(START_US, LeaderHistory::Successor);
+fn a_new_leader_renews_held_shares_and_lends_nothing_that_may_be_lent() {
+    let mut lender = successor(1.0);
     let held = lend(&mut lender, START_US, "vm-1", demand(1.0, 0.3, 7)).expect("a grant");
     assert_eq!(held, Grant { share: 0.3, initial_burst_share: 0.0 });
     let new = lend(&mut lender, START_US, "vm-2", demand(1.0, 0.0, 0)).expect("a grant");
--- a/crates/policy/tests/quotas/world.rs
+++ b/crates/policy/tests/quotas/world.rs
@@ -37,13 +37,34 @@
     epoch: u64,
     lender: QuotaLender,
     clock_offset_us: u64,
+    /// Time of the last commit. The log commits in the order of the decisions.
+    last_commit_us: u64,
 }
 
 #[derive(Debug, Clone, Copy)]
 enum Message {
-    Report { node: usize, incarnation: u64, report_us: u64, demand: ShareDemand, delays: Delays },
-    Proof { node: usize, incarnation: u64, report_us: u64, grant: Grant, epoch: u64, down_us: u64 },
-    Grant { node: usize, incarnation: u64, report_us: u64, grant: Grant },
+    Report {
+        node: usize,
+        incarnation: u64,
+        report_us: u64,
+        demand: ShareDemand,
+        delays: Delays,
+    },
+    Proof {
+        node: usize,
+        incarnation: u64,
+        report_us: u64,
+        grant: Grant,
+        epoch: u64,
+        down_us: u64,
+        ceiling: Option<f64>,
+    },
+    Grant {
+        node: usize,
+        incarnation: u64,
+        report_us: u64,
+        grant: Grant,
+    },
 }
 
 /// Nodes of one account and their leader.
@@ -52,6 +73,8 @@
     pub quota: Quota,
     pub nodes: Vec<Node>,
     leader: Leader,
+    /// Ceiling of the account in the replicated state.
+    ceiling: f64,
     messages: BTreeMap<(u64, u64), Message>,
     message_count: u64,
     /// Time and node of each admitted request.
@@ -80,7 +103,8 @@
             now_us,
             quota,
             nodes: nodes.collect(),
-            leader: Leader { epoch: 0, lender, clock_offset_us: 0 },
+            leader: Leader { epoch: 0, lender, clock_offset_us: 0, last_commit_us: now_us },
+            ceiling: 0.0,
             messages: BTreeMap::new(),
             message_count: 0,
             admissions: Vec::new(),
@@ -110,8 +134,10 @@
     pub fn change_leader(&mut self) {
         let epoch = self.leader.epoch + 1;
         let clock_offset_us = 7_000_000 * (epoch % 5);
-        let lender = QuotaLender::new(self.now_us + clock_offset_us, LeaderHistory::Successor);
-        self.leader = Leader { epoch, lender, clock_offset_us };
+        let ceilings = (self.ceiling > 0.0).then(|| (ACCOUNT.into(), self.ceiling));
+        let lender = QuotaLender::new(self.now_us + clock_offset_us, LeaderHistory::Successor)
+            .with_ceilings(ceilings);
+        self.leader = Leader { epoch, lender, clock_offset_us, last_commit_us: self.now_us };
     }
 
     /// Replaces the process of a node.
@@ -179,15 +205,21 @@
                 let reporter = Reporter { vm: &vm, incarnation, report_us };
                 let leader_us = self.now_us + self.leader.clock_offset_us;
                 let grant = self.leader.lender.lend(leader_us, reporter, ACCOUNT, &demand);
+                let ceiling = self.leader.lender.take_changed_ceilings().get(ACCOUNT).copied();
                 let Some(grant) = grant else { return };
                 let epoch = self.leader.epoch;
                 let down_us = delays.down_us;
-                let proof = Message::Proof { node, incarnation, report_us, grant, epoch, down_us };
-                self.post(delays.commit_us, proof);
+                let commit_us = (self.now_us + delays.commit_us).max(self.leader.last_commit_us);
+                self.leader.last_commit_us = commit_us;
+                self.post(
+                    commit_us - self.now_us,
+                    Message::Proof { node, incarnation, report_us, grant, epoch, down_us, ceiling },
+                );
             }
             // A deposed leader cannot commit, so it does not answer.
             Message::Proof { epoch, .. } if epoch != self.leader.epoch => {}
-            Message::Proof { node, incarnation, report_us, grant, down_us, .. } => {
+            Message::Proof { node, incarnation, report_us, grant, down_us, ceiling, .. } => {
+                self.ceiling = ceiling.unwrap_or(self.ceiling);
                 self.post(down_us, Message::Grant { node, incarnation, report_us, grant });
             }
             Message::Grant { node, incarnation, report_us, grant } => {
