Keep large configurations off the thread of a replica's messages

Cause: a replica sends heartbeats, consensus messages and answers on one thread. On this thread a document was parsed when the operator sent it, encoded and decoded byte by byte for the log and each follower, and rewritten and compressed for nodes. In a debug build each of these takes longer than the election timeout of 300 ms for 0.6 MB, so followers elected other leaders (terms 14 to 21 during the puts) and no put was committed in 900 ms.

Change: documents are checked, rewritten and compressed on blocking threads, and nodes receive the packed form when it is ready. Byte strings are encoded as a whole, in the same form as before, so that log files and replicas of older versions can still be read. The HTTP/2 windows between replicas are 2 MiB instead of 64 KiB, so that a document of 1.2 MB does not wait for 18 round trips on its way to the leader and to followers. The effect of the windows was not measured: all links were loopback.

--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -8,6 +8,7 @@
 //! The algorithm is described by Ongaro and Ousterhout, "In Search of an Understandable Consensus
 //! Algorithm", USENIX ATC 2014, with the pre-vote and check-quorum extensions of Ongaro's thesis.
 
+pub mod byte_codec;
 mod log;
 mod message;
 mod progress;
--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -86,6 +86,7 @@
         /// Offset of the chunk in the snapshot data, in bytes.
         offset_bytes: u64,
         /// Bytes of the chunk.
+        #[serde(with = "crate::byte_codec")]
         data: Vec<u8>,
         /// Whether the chunk is the last one of the snapshot.
         is_last: bool,
--- a/crates/consensus/src/types.rs
+++ b/crates/consensus/src/types.rs
@@ -69,7 +69,7 @@
     /// No command: a new leader appends it to commit the entries of earlier terms.
     Empty,
     /// Encoded command for the state machine.
-    Command(Vec<u8>),
+    Command(#[serde(with = "crate::byte_codec")] Vec<u8>),
     /// Membership, in force as soon as the entry is in the log, committed or not.
     Membership(Membership),
 }
@@ -104,5 +104,6 @@
     /// Membership at that index.
     pub membership: Membership,
     /// Encoded state of the state machine, opaque to this crate.
+    #[serde(with = "crate::byte_codec")]
     pub data: Vec<u8>,
 }
--- a/crates/control/src/configurations.rs
+++ b/crates/control/src/configurations.rs
@@ -20,6 +20,7 @@
     /// Version of the new configuration; must be greater than the current one.
     pub version: u64,
     /// Document, byte for byte as the operator sent it.
+    #[serde(with = "consensus::byte_codec")]
     pub text: Arc<[u8]>,
 }
 
@@ -44,6 +45,7 @@
     /// Version that the operator gave the document.
     pub version: u64,
     /// Document, byte for byte as the operator sent it.
+    #[serde(with = "consensus::byte_codec")]
     pub text: Arc<[u8]>,
 }
 
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -5,6 +5,7 @@
 //! inputs over a channel and read the [`view::View`] that it publishes.
 
 pub mod claims;
+mod configuration_packing;
 mod configuration_store;
 pub mod configurations;
 pub mod directory;
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -18,6 +18,10 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 const PING_INTERVAL: Duration = Duration::from_millis(500);
 const PING_TIMEOUT: Duration = Duration::from_millis(500);
+/// HTTP/2 receive window for calls and consensus messages, in bytes. With the default of 64 KiB, a
+/// document of 1.2 MB waits for 18 round trips between data centres on its way to the leader, and for as
+/// many to each follower.
+pub(crate) const RECEIVE_WINDOW_BYTES: u32 = 2 * 1024 * 1024;
 const RECONNECT_DELAY: Duration = Duration::from_millis(100);
 
 /// Sends messages to other replicas without blocking.
@@ -40,6 +44,8 @@
         .http2_keep_alive_interval(PING_INTERVAL)
         .keep_alive_timeout(PING_TIMEOUT)
         .keep_alive_while_idle(true)
+        .initial_stream_window_size(RECEIVE_WINDOW_BYTES)
+        .initial_connection_window_size(RECEIVE_WINDOW_BYTES)
         .tcp_nodelay(true);
     Ok(endpoint.connect_lazy())
 }
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -15,6 +15,7 @@
 use tonic::transport::Server;
 use tonic::transport::server::TcpIncoming;
 
+use crate::configuration_packing;
 use crate::configuration_store::ConfigurationStore;
 use crate::directory::Directory;
 use crate::distribution::{DocumentRewriter, distribute_unchanged};
@@ -126,6 +127,7 @@
     tokio::spawn(formation::run(log.clone(), clock, settings.clone(), replica.clone()));
     tokio::spawn(service::sync_directories(context.clone()));
     tokio::spawn(service::prove_freshness(context.clone()));
+    tokio::spawn(configuration_packing::pack_configurations(context.clone()));
     tokio::spawn(quota_exchange::run(context.clone()));
     tokio::spawn(serve_operators(ConfigurationStore::new(context.clone())));
     let serve = serve(listener, context, stop_sender);
@@ -200,6 +202,8 @@
     let server = Server::builder()
         .http2_keepalive_interval(Some(PING_INTERVAL))
         .http2_keepalive_timeout(Some(PING_TIMEOUT))
+        .initial_stream_window_size(peers::RECEIVE_WINDOW_BYTES)
+        .initial_connection_window_size(peers::RECEIVE_WINDOW_BYTES)
         .max_concurrent_streams(MAX_CONCURRENT_STREAMS);
     // `Server::tcp_nodelay` has no effect on a listener that the caller has bound.
     let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -6,26 +6,25 @@
 mod profile_service;
 mod replica_service;
 
-use std::fmt::Display;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use consensus::Role;
 use daemon::Clock;
+use rpc::SyncDirectoryRequest;
 use rpc::claims_server::ClaimsServer;
 use rpc::configurations_server::ConfigurationsServer;
 use rpc::directory_server::DirectoryServer;
 use rpc::profiles_server::ProfilesServer;
 use rpc::replica_client::ReplicaClient;
 use rpc::replica_server::ReplicaServer;
-use rpc::{PackedConfiguration, SyncDirectoryRequest};
-use slog::{Logger, error};
+use slog::Logger;
 use tokio::sync::watch;
 use tonic::transport::server::Router;
 use tonic::transport::{Channel, Server};
 
+use crate::configuration_packing::PackedConfigurations;
 use crate::configuration_store::ConfigurationStore;
-use crate::configurations::ConfigurationVersion;
 use crate::directory::Directory;
 use crate::distribution::{DocumentRewriter, distribute_unchanged};
 use crate::freshness_proofs::{self, StampRegistry};
@@ -53,17 +52,8 @@
     pub(crate) channels: Arc<Channels>,
     pub(crate) stamps: StampRegistry,
     pub(crate) quotas: Arc<QuotaExchange>,
-    rewrite_document: DocumentRewriter,
-    packed_configuration: Arc<Mutex<PackedVersion>>,
-}
-
-/// Cached newest configuration, rewritten and compressed as nodes receive it.
-#[derive(Default)]
-struct PackedVersion {
-    version: u64,
-    /// `None` if the configuration could not be rewritten or compressed. Kept, so that the failure is
-    /// logged once and not for each update of each node.
-    packed: Option<PackedConfiguration>,
+    pub(crate) rewrite_document: DocumentRewriter,
+    pub(crate) packed_configurations: PackedConfigurations,
 }
 
 impl ServiceContext {
@@ -87,7 +77,7 @@
             rewrite_document: distribute_unchanged,
             stamps: StampRegistry::new(),
             quotas: Arc::default(),
-            packed_configuration: Arc::default(),
+            packed_configurations: PackedConfigurations::default(),
         }
     }
 
@@ -110,30 +100,6 @@
         });
     }
 
-    /// Returns a configuration as nodes receive it, `None` if it cannot be rewritten or compressed.
-    /// It is rewritten and compressed once and cached for all nodes.
-    pub(crate) fn packed_configuration(
-        &self,
-        current: &ConfigurationVersion,
-    ) -> Option<PackedConfiguration> {
-        let mut cached = self.packed_configuration.lock().unwrap_or_else(PoisonError::into_inner);
-        if cached.version != current.version {
-            *cached = PackedVersion { version: current.version, packed: self.pack(current) };
-        }
-        cached.packed.clone()
-    }
-
-    fn pack(&self, current: &ConfigurationVersion) -> Option<PackedConfiguration> {
-        let log_failure = |error: &dyn Display| {
-            error!(self.log, "configuration-packing-failed"; "version" => current.version,
-                "error" => %error);
-        };
-        let text = (self.rewrite_document)(&current.text);
-        let text = text.inspect_err(|error| log_failure(error)).ok()?;
-        let packed = PackedConfiguration::pack(current.version, &text);
-        packed.inspect_err(|error| log_failure(error)).ok()
-    }
-
     /// Returns a channel to the leader, `None` if this replica is the leader or the address of the
     /// leader is unknown.
     pub(crate) fn leader_channel(&self) -> Option<Channel> {
--- a/crates/control/src/service/directory_service.rs
+++ b/crates/control/src/service/directory_service.rs
@@ -105,7 +105,7 @@
     ) -> Result<(), StreamClosed> {
         let mut directory_revision = self.context.directory_revision.subscribe();
         let mut profile_revision = self.context.replica.profile_revision();
-        let mut configuration_version = self.context.replica.configuration_version();
+        let mut configurations = self.context.packed_configurations.subscribe();
         let mut is_current = self.context.replica.is_current();
         let mut stop = self.context.stop.clone();
         let mut content_age_ticks = tokio::time::interval(CONTENT_AGE_INTERVAL);
@@ -148,7 +148,7 @@
                 }
                 () = sleep_until(endpoints_due) => true,
                 _ = profile_revision.changed() => true,
-                _ = configuration_version.changed() => true,
+                _ = configurations.changed() => true,
                 _ = is_current.changed() => {
                     self.send(&updates, ControlUpdate::default()).await?;
                     false
@@ -250,13 +250,9 @@
     }
 
     fn new_configuration(&mut self) -> Option<PackedConfiguration> {
-        let view = self.context.replica.view();
-        let current = view.configurations.current()?;
-        if current.version <= self.sent_configuration_version {
-            return None;
-        }
-        let packed = self.context.packed_configuration(current)?;
-        self.sent_configuration_version = current.version;
+        let packed =
+            self.context.packed_configurations.newer_than(self.sent_configuration_version)?;
+        self.sent_configuration_version = packed.version;
         Some(packed)
     }
 
--- a/crates/control/tests/state_machine.rs
+++ b/crates/control/tests/state_machine.rs
@@ -2,10 +2,13 @@
 
 use std::collections::HashMap;
 
+use consensus::Payload;
 use control::claims::{Claim, ClaimKey, ClaimResult, ClaimTable, RecordedAnswer, Settle};
+use control::configurations::ConfigurationChange;
 use control::profiles::{Change, ChangeAction, ChangeResult, ProfileTable};
 use control::state::{Command, State};
 use proptest::prelude::*;
+use serde::Serialize;
 
 const DEADLINE_MS: u64 = 1_000;
 const WINDOW_MS: u64 = 60_000;
@@ -212,3 +215,30 @@
         Command::Settle(Settle { key: key(1), holder: 7, answer: Some(answer()) }),
     ] => Some(ClaimResult::Unknown);
 }
+
+/// A change as older replicas encode it.
+#[derive(Serialize)]
+struct ListedChange {
+    base_version: u64,
+    version: u64,
+    text: Vec<u8>,
+}
+
+/// Guards against an encoding of documents and commands that replicas of older versions, or the
+/// files that they wrote, do not share.
+#[test]
+fn byte_strings_are_encoded_as_lists_of_bytes() {
+    for length in [0, 1, 127, 128, 70_000] {
+        let bytes: Vec<u8> = (0..=255).cycle().take(length).collect();
+        let listed = ListedChange { base_version: 300, version: 301, text: bytes.clone() };
+        let encoded = postcard::to_stdvec(&listed).expect("it can be encoded");
+        let change: ConfigurationChange = postcard::from_bytes(&encoded).expect("it can be read");
+        assert_eq!(*change.text, *bytes);
+        assert_eq!(postcard::to_stdvec(&change).expect("it can be encoded"), encoded);
+        let payload = postcard::to_stdvec(&Payload::Command(bytes.clone()));
+        let variant_and_list = postcard::to_stdvec(&(1_u32, &bytes));
+        assert_eq!(payload, variant_and_list);
+        let decoded: Payload = postcard::from_bytes(&payload.unwrap()).expect("it can be read");
+        assert_eq!(decoded, Payload::Command(bytes));
+    }
+}
