Refuse a new request that the first accounts overtake

Cause: a request that was routed by a configuration without client accounts ran as such, also if one with accounts came into force while its body was read. It then ran without a lookup of its key, and its headers X-Api-Key and Tenant were passed on to the upstream.

Change: the node looks at the newest configuration again after the body has arrived.

--- a/crates/mesh/src/caller_listener.rs
+++ b/crates/mesh/src/caller_listener.rs
@@ -83,6 +83,7 @@
         let account = head.account.clone();
         let remaining_us = head.deadline_us.saturating_sub(started_us);
         let body = read_body(incoming, limits, Duration::from_micros(remaining_us)).await?;
+        self.check_new_accounts(&active.configuration, &mut head)?;
         let result = match head.priority {
             CallPriority::InProgress(_) => self.run_in_progress(head, body, route).await,
             CallPriority::NewRequest(priority_level) => {
@@ -240,6 +241,31 @@
         result
     }
 
+    /// Handles the change from a configuration without client accounts to one with them while the body
+    /// of a request was read. The headers of the request then still hold its key, and no account was
+    /// looked up.
+    ///
+    /// # Errors
+    ///
+    /// Returns a failure if the request is new, since it may need a key now.
+    fn check_new_accounts(
+        &self,
+        routed_by: &Configuration,
+        head: &mut CallHead,
+    ) -> Result<(), CallFailure> {
+        let has_accounts = |configuration: &Configuration| configuration.has_client_accounts();
+        let is_newest_with_accounts =
+            || self.configuration.load().is_some_and(|active| has_accounts(&active.configuration));
+        if has_accounts(routed_by) || !is_newest_with_accounts() {
+            return Ok(());
+        }
+        self.adapter.remove_account_headers(&mut head.headers);
+        match head.priority {
+            CallPriority::InProgress(_) => Ok(()),
+            CallPriority::NewRequest(_) => Err(CallFailure::not_run(Reason::ConfigurationUnproven)),
+        }
+    }
+
     /// Checks right before the dispatch of a request with a key that its client account may send it.
     ///
     /// The key is looked up again, since the configuration may have changed while the body was read.
