Add reported calls as floating-point numbers

Cause: the estimate of a VM's load added in_flight, queued and 1 from another node's answer as u32. Large numbers panic in debug builds and wrap around in release builds, where a VM with the most calls looks idle.

Change: the numbers are added as f64. Tests report zeros and the largest numbers.

--- a/crates/policy/src/estimated_load/vm_estimate.rs
+++ b/crates/policy/src/estimated_load/vm_estimate.rs
@@ -196,7 +196,7 @@
     /// Returns the utilization that the last report states, with one call more.
     pub(super) fn reported_cost(&self) -> Option<f64> {
         let load = self.report?.load;
-        Some(f64::from(load.in_flight + load.queued + 1) / f64::from(load.limit.max(1)))
+        Some((load_calls(load) + 1.0) / f64::from(load.limit.max(1)))
     }
 
     /// Returns whether the VM has calls and finishes none, by this node's own calls or by the
@@ -217,7 +217,7 @@
     /// Returns the reported calls moved forward to now: the VM gets the reported arrivals, and each
     /// of its busy slots finishes a call in a service time.
     fn calls_now(&self, now_us: u64, service_us: f64) -> f64 {
-        let calls = f64::from(self.load.in_flight + self.load.queued);
+        let calls = load_calls(self.load);
         let limit = f64::from(self.load.limit.max(1));
         let Some(rates) = self.rates else { return calls };
         let arrivals_per_us = f64::from(rates.arrivals_per_s) / US_PER_S as f64;
@@ -259,6 +259,12 @@
     }
 }
 
+/// Returns the calls at a VM. Added as floating-point numbers, since the sum of two numbers from the
+/// network may exceed an integer.
+fn load_calls(load: PlacementLoad) -> f64 {
+    f64::from(load.in_flight) + f64::from(load.queued)
+}
+
 fn settle(calls: f64, steady: f64, service_times: f64) -> f64 {
     steady + (calls - steady) * (-service_times).exp()
 }
--- a/crates/policy/tests/estimated_load/one_node.rs
+++ b/crates/policy/tests/estimated_load/one_node.rs
@@ -229,3 +229,49 @@
     balancer.report(later_us, &vm("d0-b"), USUAL, Some(RATES));
     assert!(calls_of_1000(&mut balancer, later_us, "d0-a") <= 1);
 }
+
+/// Guards against a sum of numbers from the network that wraps around, after which a VM with the most
+/// calls would look idle, or the node would panic. A call in 64 has no other VM among those drawn.
+#[test]
+fn vm_that_reports_the_largest_numbers_looks_full() {
+    let most = PlacementLoad { in_flight: u32::MAX, queued: 1, limit: 19 };
+    let calls = calls_after_report(most, RATES, 10 * MS);
+    assert!(calls < 40, "{calls} of 1,000");
+}
+
+macro_rules! odd_reports {
+    ($($name:ident: $load:expr, $rates:expr;)*) => {
+        $(
+            /// Guards against a panic and against a cost that is not a number, after which a VM that
+            /// reports usual numbers would get no calls.
+            #[test]
+            fn $name() {
+                let mut balancer = balancer(&["d0-a", "d0-b"]);
+                for step in 0..100 {
+                    balancer.report(S + step * MS, &vm("d0-a"), $load, Some($rates));
+                    balancer.report(S + step * MS, &vm("d0-b"), USUAL, Some(RATES));
+                }
+                assert!(calls_of_1000(&mut balancer, S + 110 * MS, "d0-b") > 0);
+                balancer.remove(&vm("d0-a"));
+                assert_eq!(calls_of_1000(&mut balancer, S + 120 * MS, "d0-b"), 1_000);
+            }
+        )*
+    };
+}
+
+const ZERO_RATES: VmRates =
+    VmRates { arrivals_per_s: 0, completions_per_s: 0, service_us: 0, no_completion_ms: 0 };
+const LARGEST_RATES: VmRates = VmRates {
+    arrivals_per_s: u32::MAX,
+    completions_per_s: u32::MAX,
+    service_us: u32::MAX,
+    no_completion_ms: u32::MAX,
+};
+
+odd_reports! {
+    report_of_zeros: PlacementLoad { in_flight: 0, queued: 0, limit: 0 }, ZERO_RATES;
+    report_of_the_largest_numbers:
+        PlacementLoad { in_flight: u32::MAX, queued: u32::MAX, limit: u32::MAX }, LARGEST_RATES;
+    report_of_calls_without_a_limit:
+        PlacementLoad { in_flight: u32::MAX, queued: 1, limit: 0 }, LARGEST_RATES;
+}
