Send rates and failure shares only where the settings ask for them

Cause: nodes with failure_evidence = own sent heatherweir-failures with each answer, and nodes with balancing = two-choices measured and sent rates in heatherweir-load.

Change: a node records and sends shares only with shared evidence, and measures and sends rates only with estimated load. A node with its own evidence still answers as a collector.

--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -32,6 +32,7 @@
 use crate::request_key::{RequestKey, digest_text};
 use crate::request_log::RequestLog;
 use crate::running_requests::{ParentRequest, RunningRequests};
+use crate::settings::Balancing;
 use crate::shared_failures::SharedFailures;
 use crate::slot_queue::{Permit, Refusal, SlotQueue};
 use crate::suspects::{SuspectCall, SuspectPass, SuspectRefusal, Suspects};
@@ -71,7 +72,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct NodeLoad {
     pub(crate) placement: PlacementLoad,
-    /// Rates of the upstream. `None` if a node of an older version reported the load.
+    /// Rates of the upstream. `None` if the node does not measure them, as nodes of older versions.
     pub(crate) rates: Option<VmRates>,
     /// Whether other nodes should send their calls elsewhere.
     pub(crate) is_leaving: bool,
@@ -92,6 +93,7 @@
     pub(crate) crash_monitor: Arc<CrashMonitor>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) shared_failures: Arc<SharedFailures>,
+    pub(crate) balancing: Balancing,
 }
 
 /// Admits calls to the local upstream and dispatches them.
@@ -128,7 +130,7 @@
             adapter: deps.adapter,
             pool: deps.pool,
             endpoints: deps.endpoints,
-            slot_queue: SlotQueue::new(deps.clock),
+            slot_queue: slot_queue(deps.clock, deps.balancing),
             upstream_state: deps.upstream_state,
             suspects: deps.suspects,
             crash_monitor: deps.crash_monitor,
@@ -159,7 +161,7 @@
 
     pub(crate) fn load(&self) -> NodeLoad {
         let now_us = self.clock.now_us();
-        let load = self.slot_queue.load();
+        let (load, rates) = self.slot_queue.load_and_rates();
         let limit = match self.upstream_state.is_cold(now_us) {
             _ if self.suspects.is_isolating() => 1,
             true => (load.limit / COLD_LIMIT_DIVISOR).max(1),
@@ -167,7 +169,6 @@
         };
         let placement = PlacementLoad { in_flight: load.in_flight, queued: load.queued, limit };
         let overload_permille = (self.lock_overload().failure_probability(now_us) * 1_000.0) as u32;
-        let rates = Some(self.slot_queue.rates());
         NodeLoad { placement, rates, is_leaving: self.is_leaving(), overload_permille }
     }
 
@@ -476,7 +477,7 @@
                 let lacked_capacity =
                     answer.status.is_server_error() && running_guard.lacked_capacity();
                 let calls = running_guard.calls();
-                self.shared_failures.record_runs(head.kind, RunCounts::of_run(lacked_capacity));
+                self.shared_failures.record_run(head.kind, RunCounts::of_run(lacked_capacity));
                 if calls > 0 || lacked_capacity {
                     self.lock_overload().record_run(self.clock.now_us(), lacked_capacity);
                 }
@@ -514,6 +515,14 @@
     }
 }
 
+/// Returns the queue of a node. Rates are measured only if the deployment balances by them.
+fn slot_queue(clock: Clock, balancing: Balancing) -> SlotQueue {
+    match balancing {
+        Balancing::TwoChoices => SlotQueue::new(clock),
+        Balancing::EstimatedLoad => SlotQueue::new(clock).with_rates(),
+    }
+}
+
 /// Reads a response and buffers its body up to [`body::MAX_BUFFERED_BYTES`]; a larger one is
 /// streamed.
 async fn read_answer(
--- a/crates/mesh/src/peer.rs
+++ b/crates/mesh/src/peer.rs
@@ -44,7 +44,7 @@
 /// Fields of a node's load, separated by spaces: calls in flight, queued calls, limit, whether the
 /// node is leaving, overload probability in thousandths, arrivals and completions per second, mean
 /// service time in microseconds, and time without a completion in milliseconds. The last four are
-/// absent in answers of older nodes, which ignore them.
+/// absent in answers of older nodes, which ignore them, and of nodes that do not balance by them.
 const LOAD: HeaderName = HeaderName::from_static("heatherweir-load");
 /// Number of calls that a run made, over all levels below it. Absent in answers of older nodes.
 const CALLS: HeaderName = HeaderName::from_static("heatherweir-calls");
@@ -324,12 +324,13 @@
     let PlacementLoad { in_flight, queued, limit } = load.placement;
     let is_leaving = u8::from(load.is_leaving);
     let overload_permille = load.overload_permille;
-    let VmRates { arrivals_per_s, completions_per_s, service_us, no_completion_ms } =
-        load.rates.unwrap_or_default();
-    let text = format!(
-        "{in_flight} {queued} {limit} {is_leaving} {overload_permille} {arrivals_per_s} \
-         {completions_per_s} {service_us} {no_completion_ms}"
-    );
+    let mut text = format!("{in_flight} {queued} {limit} {is_leaving} {overload_permille}");
+    if let Some(rates) = load.rates {
+        let VmRates { arrivals_per_s, completions_per_s, service_us, no_completion_ms } = rates;
+        text.push_str(&format!(
+            " {arrivals_per_s} {completions_per_s} {service_us} {no_completion_ms}"
+        ));
+    }
     HeaderValue::try_from(text).unwrap_or(HeaderValue::from_static("0 0 1 0 0"))
 }
 
--- a/crates/mesh/src/peer/tests.rs
+++ b/crates/mesh/src/peer/tests.rs
@@ -65,3 +65,11 @@
     headers.insert(LOAD, encode_load(load));
     assert_eq!(decode_load(&headers), Some(load));
 }
+
+/// Guards against rates in the answers of a node that does not balance by them.
+#[test]
+fn load_without_rates_has_the_fields_of_an_older_node() {
+    let load =
+        NodeLoad { placement: PLACEMENT, rates: None, is_leaving: false, overload_permille: 12 };
+    assert_eq!(encode_load(load), "3 1 19 0 12");
+}
--- a/crates/mesh/src/server.rs
+++ b/crates/mesh/src/server.rs
@@ -205,7 +205,7 @@
             configuration: Arc::clone(&configuration),
             health_id_header: adapter.health_id_header(),
         }));
-        let shared_failures = Arc::new(SharedFailures::new(clock));
+        let shared_failures = Arc::new(SharedFailures::new(clock, settings.failure_evidence));
         let ingress = Arc::new(Ingress::new(IngressDependencies {
             log: log.clone(),
             clock,
@@ -218,6 +218,7 @@
             crash_monitor,
             metrics: Arc::clone(&metrics),
             shared_failures: Arc::clone(&shared_failures),
+            balancing: settings.balancing,
         }));
         let request_log = Arc::new(RequestLog::new(log.clone(), clock));
         let quotas = AccountQuotas::new(
--- a/crates/mesh/src/shared_failures.rs
+++ b/crates/mesh/src/shared_failures.rs
@@ -22,6 +22,7 @@
 use crate::http_listener;
 use crate::peer;
 use crate::request_throttles::{DueExchange, RequestThrottles};
+use crate::settings::FailureEvidence;
 
 /// Fields of the share of a route, separated by spaces: failed runs in thousandths, and the number
 /// of runs. Absent in answers of older nodes.
@@ -41,34 +42,47 @@
 /// Failure data at this node, by route digest.
 pub(crate) struct SharedFailures {
     clock: Clock,
+    evidence: FailureEvidence,
     failures: Mutex<RouteFailures>,
 }
 
 impl SharedFailures {
-    pub(crate) fn new(clock: Clock) -> Self {
-        Self { clock, failures: Mutex::default() }
+    pub(crate) fn new(clock: Clock, evidence: FailureEvidence) -> Self {
+        Self { clock, evidence, failures: Mutex::default() }
     }
 
-    /// Records runs of a route.
-    pub(crate) fn record_runs(&self, kind: CallKind, counts: RunCounts) {
-        self.lock().record(self.clock.now_us(), kind, counts);
+    /// Records a run at the local upstream. Ignored if the node does not share its failure data.
+    pub(crate) fn record_run(&self, kind: CallKind, counts: RunCounts) {
+        if self.evidence == FailureEvidence::Shared {
+            self.lock().record(self.clock.now_us(), kind, counts);
+        }
     }
 
-    /// Returns the share of the route's recent runs that failed for lack of capacity.
+    /// Returns the share of the route's recent runs that failed for lack of capacity, for an answer.
+    /// `None` if the node does not share its failure data.
     pub(crate) fn share(&self, kind: CallKind) -> Option<FailureShare> {
-        self.lock().share(self.clock.now_us(), kind)
+        match self.evidence {
+            FailureEvidence::Own => None,
+            FailureEvidence::Shared => self.lock().share(self.clock.now_us(), kind),
+        }
     }
 
-    /// Handles a message of an entry node for which this node is the collector of a route.
+    /// Handles a message of an entry node for which this node is the collector of a route. Nodes
+    /// that do not share their own data answer too.
     pub(crate) fn handle(&self, message: &HeaderValue) -> Response<AnswerBody> {
         let Some((kind, exchange)) = decode_exchange(message) else {
             return http_listener::empty_response(StatusCode::BAD_REQUEST);
         };
         let mut response = http_listener::empty_response(StatusCode::OK);
-        self.record_runs(kind, exchange.counts);
-        let is_granted = exchange.wants_probe && self.lock().grant_probe(self.clock.now_us(), kind);
+        let now_us = self.clock.now_us();
+        let (is_granted, share) = {
+            let mut failures = self.lock();
+            failures.record(now_us, kind, exchange.counts);
+            let is_granted = exchange.wants_probe && failures.grant_probe(now_us, kind);
+            (is_granted, failures.share(now_us, kind))
+        };
         let headers = response.headers_mut();
-        write_share(headers, self.share(kind));
+        write_share(headers, share);
         headers.insert(PROBE, HeaderValue::from(u32::from(is_granted)));
         response
     }
--- a/crates/mesh/src/shared_failures/tests.rs
+++ b/crates/mesh/src/shared_failures/tests.rs
@@ -44,7 +44,7 @@
 /// Guards against an answer that grants a probe to every node that asks.
 #[test]
 fn collector_merges_results_and_limits_probes() {
-    let collector = SharedFailures::new(Clock::new());
+    let collector = SharedFailures::new(Clock::new(), FailureEvidence::Shared);
     let counts = RunCounts { runs: 4, failed: 3 };
     let exchange = Exchange { counts, wants_probe: true, collector_rank: 0 };
     let message = encode_exchange(7, exchange).expect("the message is valid");
@@ -56,7 +56,22 @@
 
 #[test]
 fn malformed_message_is_rejected() {
-    let collector = SharedFailures::new(Clock::new());
+    let collector = SharedFailures::new(Clock::new(), FailureEvidence::Shared);
     let response = collector.handle(&HeaderValue::from_static("7 x"));
     assert_eq!(response.status(), StatusCode::BAD_REQUEST);
 }
+
+/// Guards against failure data in the answers of a node whose settings do not ask for it.
+#[test]
+fn node_with_its_own_evidence_has_no_share_but_answers_as_collector() {
+    let node = SharedFailures::new(Clock::new(), FailureEvidence::Own);
+    node.record_run(7, RunCounts::of_run(true));
+    assert_eq!(node.share(7), None);
+    let counts = RunCounts { runs: 4, failed: 3 };
+    let exchange = Exchange { counts, wants_probe: true, collector_rank: 0 };
+    let message = encode_exchange(7, exchange).expect("the message is valid");
+    let answer = read_answer(node.handle(&message).headers());
+    assert!(answer.is_probe_granted);
+    assert_eq!(answer.share, FailureShare::from_message(750, 4));
+    assert_eq!(node.share(7), None);
+}
--- a/crates/mesh/src/slot_queue.rs
+++ b/crates/mesh/src/slot_queue.rs
@@ -42,7 +42,8 @@
 /// Admission controller for the upstream's slots, and the calls that wait for a slot.
 struct State {
     slot_admission: SlotAdmission,
-    rate_meter: RateMeter,
+    /// `None` if no node uses the rates.
+    rate_meter: Option<RateMeter>,
     waiters: HashMap<Ticket, Waiter>,
     next_ticket: Ticket,
 }
@@ -50,13 +51,19 @@
 impl State {
     /// Releases the slot of a call and returns the results for queued calls.
     fn complete(&mut self, now_us: u64, call: RunningCall, end: CallEnd) -> Vec<Event> {
-        self.rate_meter.record_end(now_us);
-        if let CallEnd::Answered { service_us } = end {
-            self.rate_meter.record_service_time(now_us, service_us);
+        self.record_end(now_us);
+        if let (CallEnd::Answered { service_us }, Some(rate_meter)) = (end, &mut self.rate_meter) {
+            rate_meter.record_service_time(now_us, service_us);
         }
         self.slot_admission.complete(now_us, call, end)
     }
 
+    fn record_end(&mut self, now_us: u64) {
+        if let Some(rate_meter) = &mut self.rate_meter {
+            rate_meter.record_end(now_us);
+        }
+    }
+
     /// Sends admission results to queued calls. A slot granted to a cancelled call is passed on to
     /// the next one.
     fn notify_waiters(&mut self, now_us: u64, mut events: Vec<Event>) {
@@ -71,7 +78,7 @@
                 }
                 Event::Refuse { ticket, wait_us, cause } => {
                     let Some(waiter) = self.waiters.remove(&ticket) else { continue };
-                    self.rate_meter.record_end(now_us);
+                    self.record_end(now_us);
                     // Sending fails if the call was cancelled, which needs no result.
                     let _ = waiter.sender.send(Err(Refusal::new(wait_us, cause)));
                 }
@@ -93,13 +100,20 @@
         let now_us = clock.now_us();
         let state = State {
             slot_admission: SlotAdmission::new(0, now_us),
-            rate_meter: RateMeter::new(now_us),
+            rate_meter: None,
             waiters: HashMap::new(),
             next_ticket: 0,
         };
         Self { clock, state: Arc::new(Mutex::new(state)), call_queued: Arc::default() }
     }
 
+    /// Makes the queue measure the rates of the upstream, which nodes use that balance by an estimate
+    /// of the load.
+    pub(crate) fn with_rates(self) -> Self {
+        self.lock().rate_meter = Some(RateMeter::new(self.clock.now_us()));
+        self
+    }
+
     /// Sets the number of slots that the upstream reports.
     pub(crate) fn set_slots(&self, slots: u32) {
         self.lock().slot_admission.set_announced_slots(slots);
@@ -118,8 +132,8 @@
     pub(crate) fn record_reported_load(&self, load: ReportedLoad) -> bool {
         let now_us = self.clock.now_us();
         let mut state = self.lock();
-        if let Some(factor) = load.slowdown() {
-            state.rate_meter.record_slowdown(now_us, factor);
+        if let (Some(factor), Some(rate_meter)) = (load.slowdown(), &mut state.rate_meter) {
+            rate_meter.record_slowdown(now_us, factor);
         }
         let was_learned = !state.slot_admission.is_limit_reported(now_us);
         let events = state.slot_admission.record_reported_load(now_us, load);
@@ -137,10 +151,12 @@
         self.lock().slot_admission.load(now_us)
     }
 
-    /// Returns the rates of the upstream for other nodes.
-    pub(crate) fn rates(&self) -> VmRates {
+    /// Returns the load and, if they are measured, the rates of the upstream for other nodes.
+    pub(crate) fn load_and_rates(&self) -> (SlotLoad, Option<VmRates>) {
         let now_us = self.clock.now_us();
-        self.lock().rate_meter.rates(now_us)
+        let state = self.lock();
+        let rates = state.rate_meter.as_ref().map(|rate_meter| rate_meter.rates(now_us));
+        (state.slot_admission.load(now_us), rates)
     }
 
     /// Refuses all queued calls.
@@ -166,8 +182,9 @@
             let (decision, events) =
                 state.slot_admission.offer(now_us, SlotRequest { ticket, ..request });
             state.notify_waiters(now_us, events);
-            if !matches!(decision, Decision::Refuse { .. }) {
-                state.rate_meter.record_arrival(now_us);
+            let is_refused = matches!(decision, Decision::Refuse { .. });
+            if let Some(rate_meter) = state.rate_meter.as_mut().filter(|_| !is_refused) {
+                rate_meter.record_arrival(now_us);
             }
             match decision {
                 Decision::Admit => return Ok(self.permit(call)),
@@ -245,7 +262,7 @@
         let mut state = self.slot_queue.lock();
         state.waiters.remove(&self.ticket);
         if state.slot_admission.cancel(self.ticket) {
-            state.rate_meter.record_end(now_us);
+            state.record_end(now_us);
             return;
         }
         if let Ok(Ok(call)) = self.result.try_recv() {
