Keep VMs that fail at once from drawing calls with estimated load

Cause: a VM that answers with errors at once has no calls in flight and a short service time. A node with several calls at each of its VMs, and a cost of 1.0 for each, preferred it: of 300 purchases over three VMs it got 65 to 75, an equal share is 100. The two-choices decision gave it 2 or 3.

Change: the compared cost is multiplied by the expected number of attempts, and the rates for other nodes leave out the service times of answers with an error.

--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -547,7 +547,10 @@
     };
     let body = if is_complete {
         run.finish_answered(connection.opened_us());
-        permit.finish_answered();
+        match parts.status.is_server_error() {
+            true => permit.finish_failed(),
+            false => permit.finish_answered(),
+        }
         connection.return_to_pool();
         AnswerBody::buffered(buffered)
     } else {
--- a/crates/mesh/src/slot_queue.rs
+++ b/crates/mesh/src/slot_queue.rs
@@ -52,9 +52,6 @@
     /// Releases the slot of a call and returns the results for queued calls.
     fn complete(&mut self, now_us: u64, call: RunningCall, end: CallEnd) -> Vec<Event> {
         self.record_end(now_us);
-        if let (CallEnd::Answered { service_us }, Some(rate_meter)) = (end, &mut self.rate_meter) {
-            rate_meter.record_service_time(now_us, service_us);
-        }
         self.slot_admission.complete(now_us, call, end)
     }
 
@@ -233,9 +230,13 @@
         Permit { slot_queue: self.clone(), call, started_us, is_released: false }
     }
 
-    fn complete(&self, call: RunningCall, end: CallEnd) {
+    /// Releases the slot of a call. `succeeded_us` is the service time of a call that succeeded.
+    fn complete(&self, call: RunningCall, end: CallEnd, succeeded_us: Option<u64>) {
         let now_us = self.clock.now_us();
         let mut state = self.lock();
+        if let (Some(service_us), Some(rate_meter)) = (succeeded_us, &mut state.rate_meter) {
+            rate_meter.record_service_time(now_us, service_us);
+        }
         let events = state.complete(now_us, call, end);
         state.notify_waiters(now_us, events);
     }
@@ -283,25 +284,36 @@
 impl Permit {
     /// Releases the slot after a response and records the service time.
     pub(crate) fn finish_answered(mut self) {
-        let service_us = self.slot_queue.clock.now_us().saturating_sub(self.started_us);
-        self.release(CallEnd::Answered { service_us });
+        let service_us = self.service_us();
+        self.release(CallEnd::Answered { service_us }, Some(service_us));
+    }
+
+    /// Releases the slot after a response that reports an error. The rates that nodes balance by do
+    /// not include its service time, since an upstream that fails at once is not a fast one.
+    pub(crate) fn finish_failed(mut self) {
+        let service_us = self.service_us();
+        self.release(CallEnd::Answered { service_us }, None);
     }
 
     /// Releases the slot after the upstream refused the call because it was at capacity.
     pub(crate) fn finish_at_capacity(mut self) {
-        self.release(CallEnd::AtCapacity);
+        self.release(CallEnd::AtCapacity, None);
+    }
+
+    fn service_us(&self) -> u64 {
+        self.slot_queue.clock.now_us().saturating_sub(self.started_us)
     }
 
-    fn release(&mut self, end: CallEnd) {
+    fn release(&mut self, end: CallEnd, succeeded_us: Option<u64>) {
         self.is_released = true;
-        self.slot_queue.complete(self.call, end);
+        self.slot_queue.complete(self.call, end, succeeded_us);
     }
 }
 
 impl Drop for Permit {
     fn drop(&mut self) {
         if !self.is_released {
-            self.release(CallEnd::Other);
+            self.release(CallEnd::Other, None);
         }
     }
 }
--- a/crates/policy/src/estimated_load.rs
+++ b/crates/policy/src/estimated_load.rs
@@ -122,6 +122,12 @@
         FAILURE_WEIGHT * self.failure_share.value(now_us)
     }
 
+    /// Returns the expected number of attempts until one succeeds. Without this factor a node that has
+    /// several calls at each VM prefers one that fails at once, since that one has none of them.
+    fn expected_attempts(&self, now_us: u64) -> f64 {
+        1.0 / (1.0 - self.failure_share.value(now_us))
+    }
+
     fn is_unavailable(&self, now_us: u64, prior: &Prior) -> bool {
         self.consecutive_unavailable > 0 || self.estimate.is_stuck(now_us, prior)
     }
@@ -398,7 +404,8 @@
             let deviation = estimate.cost_deviation(now_us, &self.prior);
             let own_cost = OWN_CALL_COST * f64::from(estimate.own_in_flight);
             let own_cost = own_cost + group.excess_cost(now_us, candidate);
-            let sample = cost + own_cost + deviation * random.next_normal();
+            let expected = (cost + own_cost) * candidate.expected_attempts(now_us);
+            let sample = expected + deviation * random.next_normal();
             if best.is_none_or(|best| sample < best.sample) {
                 best = Some(Rated { index, cost, sample });
             }
