--- a/crates/mesh/src/slot_queue.rs
+++ b/crates/mesh/src/slot_queue.rs
@@ -42,7 +42,8 @@
 /// Admission controller for the upstream's slots, and the calls that wait for a slot.
 struct State {
     slot_admission: SlotAdmission,
-    rate_meter: RateMeter,
+    /// `None` if no node uses the rates.
+    rate_meter: Option<RateMeter>,
     waiters: HashMap<Ticket, Waiter>,
     next_ticket: Ticket,
 }
@@ -50,13 +51,16 @@
 impl State {
     /// Releases the slot of a call and returns the results for queued calls.
     fn complete(&mut self, now_us: u64, call: RunningCall, end: CallEnd) -> Vec<Event> {
-        self.rate_meter.record_end(now_us);
-        if let CallEnd::Answered { service_us } = end {
-            self.rate_meter.record_service_time(now_us, service_us);
-        }
+        self.record_end(now_us);
         self.slot_admission.complete(now_us, call, end)
     }
 
+    fn record_end(&mut self, now_us: u64) {
+        if let Some(rate_meter) = &mut self.rate_meter {
+            rate_meter.record_end(now_us);
+        }
+    }
+
     /// Sends admission results to queued calls. A slot granted to a cancelled call is passed on to
     /// the next one.
     fn notify_waiters(&mut self, now_us: u64, mut events: Vec<Event>) {
@@ -71,7 +75,7 @@
                 }
                 Event::Refuse { ticket, wait_us, cause } => {
                     let Some(waiter) = self.waiters.remove(&ticket) else { continue };
-                    self.rate_meter.record_end(now_us);
+                    self.record_end(now_us);
                     // Sending fails if the call was cancelled, which needs no result.
                     let _ = waiter.sender.send(Err(Refusal::new(wait_us, cause)));
                 }
@@ -93,13 +97,20 @@
         let now_us = clock.now_us();
         let state = State {
             slot_admission: SlotAdmission::new(0, now_us),
-            rate_meter: RateMeter::new(now_us),
+            rate_meter: None,
             waiters: HashMap::new(),
             next_ticket: 0,
         };
         Self { clock, state: Arc::new(Mutex::new(state)), call_queued: Arc::default() }
     }
 
+    /// Makes the queue measure the rates of the upstream, which nodes use that balance by an estimate
+    /// of the load.
+    pub(crate) fn with_rates(self) -> Self {
+        self.lock().rate_meter = Some(RateMeter::new(self.clock.now_us()));
+        self
+    }
+
     /// Sets the number of slots that the upstream reports.
     pub(crate) fn set_slots(&self, slots: u32) {
         self.lock().slot_admission.set_announced_slots(slots);
@@ -118,8 +129,8 @@
     pub(crate) fn record_reported_load(&self, load: ReportedLoad) -> bool {
         let now_us = self.clock.now_us();
         let mut state = self.lock();
-        if let Some(factor) = load.slowdown() {
-            state.rate_meter.record_slowdown(now_us, factor);
+        if let (Some(factor), Some(rate_meter)) = (load.slowdown(), &mut state.rate_meter) {
+            rate_meter.record_slowdown(now_us, factor);
         }
         let was_learned = !state.slot_admission.is_limit_reported(now_us);
         let events = state.slot_admission.record_reported_load(now_us, load);
@@ -137,10 +148,12 @@
         self.lock().slot_admission.load(now_us)
     }
 
-    /// Returns the rates of the upstream for other nodes.
-    pub(crate) fn rates(&self) -> VmRates {
+    /// Returns the load and, if they are measured, the rates of the upstream for other nodes.
+    pub(crate) fn load_and_rates(&self) -> (SlotLoad, Option<VmRates>) {
         let now_us = self.clock.now_us();
-        self.lock().rate_meter.rates(now_us)
+        let state = self.lock();
+        let rates = state.rate_meter.as_ref().map(|rate_meter| rate_meter.rates(now_us));
+        (state.slot_admission.load(now_us), rates)
     }
 
     /// Refuses all queued calls.
@@ -166,8 +179,9 @@
             let (decision, events) =
                 state.slot_admission.offer(now_us, SlotRequest { ticket, ..request });
             state.notify_waiters(now_us, events);
-            if !matches!(decision, Decision::Refuse { .. }) {
-                state.rate_meter.record_arrival(now_us);
+            let is_refused = matches!(decision, Decision::Refuse { .. });
+            if let Some(rate_meter) = state.rate_meter.as_mut().filter(|_| !is_refused) {
+                rate_meter.record_arrival(now_us);
             }
             match decision {
                 Decision::Admit => return Ok(self.permit(call)),
@@ -216,9 +230,13 @@
         Permit { slot_queue: self.clone(), call, started_us, is_released: false }
     }
 
-    fn complete(&self, call: RunningCall, end: CallEnd) {
+    /// Releases the slot of a call. `succeeded_us` is the service time of a call that succeeded.
+    fn complete(&self, call: RunningCall, end: CallEnd, succeeded_us: Option<u64>) {
         let now_us = self.clock.now_us();
         let mut state = self.lock();
+        if let (Some(service_us), Some(rate_meter)) = (succeeded_us, &mut state.rate_meter) {
+            rate_meter.record_service_time(now_us, service_us);
+        }
         let events = state.complete(now_us, call, end);
         state.notify_waiters(now_us, events);
     }
@@ -245,7 +263,7 @@
         let mut state = self.slot_queue.lock();
         state.waiters.remove(&self.ticket);
         if state.slot_admission.cancel(self.ticket) {
-            state.rate_meter.record_end(now_us);
+            state.record_end(now_us);
             return;
         }
         if let Ok(Ok(call)) = self.result.try_recv() {
@@ -266,25 +284,36 @@
 impl Permit {
     /// Releases the slot after a response and records the service time.
     pub(crate) fn finish_answered(mut self) {
-        let service_us = self.slot_queue.clock.now_us().saturating_sub(self.started_us);
-        self.release(CallEnd::Answered { service_us });
+        let service_us = self.service_us();
+        self.release(CallEnd::Answered { service_us }, Some(service_us));
+    }
+
+    /// Releases the slot after a response that reports an error. The rates that nodes balance by do
+    /// not include its service time, since an upstream that fails at once is not a fast one.
+    pub(crate) fn finish_failed(mut self) {
+        let service_us = self.service_us();
+        self.release(CallEnd::Answered { service_us }, None);
     }
 
     /// Releases the slot after the upstream refused the call because it was at capacity.
     pub(crate) fn finish_at_capacity(mut self) {
-        self.release(CallEnd::AtCapacity);
+        self.release(CallEnd::AtCapacity, None);
+    }
+
+    fn service_us(&self) -> u64 {
+        self.slot_queue.clock.now_us().saturating_sub(self.started_us)
     }
 
-    fn release(&mut self, end: CallEnd) {
+    fn release(&mut self, end: CallEnd, succeeded_us: Option<u64>) {
         self.is_released = true;
-        self.slot_queue.complete(self.call, end);
+        self.slot_queue.complete(self.call, end, succeeded_us);
     }
 }
 
 impl Drop for Permit {
     fn drop(&mut self) {
         if !self.is_released {
-            self.release(CallEnd::Other);
+            self.release(CallEnd::Other, None);
         }
     }
 }
