Lend a burst of one request at least and test the lent quota

Cause: a holder's bucket has one token in any case, but the burst that is lent to all holders was a tenth of the requests of a window. With fewer than ten requests in a window and no slack, a single holder got 2 requests in a window that allows 1.5 (0.1 requests a second, burst 1).

Change: the lent burst is one request at least, and the lent rate is what remains of the window. Deployments with a slack of 20 lend 12 requests or more in a window, so their quotas stay as they were.

Result: nine cases (small, usual and large accounts, burst 1, no slack, no excess) stay within the bound for one holder, for as many holders of equal shares as the slack allows, and for one of nearly all beside small ones.

--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -1,5 +1,8 @@
 //! Settings of a mesh node.
 
+#[cfg(test)]
+mod tests;
+
 use std::net::SocketAddr;
 
 use model::{Quota, ServiceName, Vm};
@@ -55,10 +58,9 @@
     pub(crate) fn lent_quota(self, quota: Quota) -> Quota {
         let in_window = quota.rate_per_s * self.window_s + quota.burst;
         let lent = in_window * (1.0 + Self::LENT_PART * self.excess) + Self::LENT_PART * self.slack;
-        Quota {
-            rate_per_s: lent * Self::RATE_PART / self.window_s,
-            burst: lent * (1.0 - Self::RATE_PART),
-        }
+        // A holder can use one token at once in any case, so the lent burst includes it.
+        let burst = (lent * (1.0 - Self::RATE_PART)).max(1.0);
+        Quota { rate_per_s: (lent - burst) / self.window_s, burst }
     }
 }
 
