Keep the pool of a new leader empty until earlier loans have ended

Cause: the pool of an account that reported while a new leader waits was refilled at the share that this leader did not know to be lent. Holders that are cut off from it use that share until their loans end, so the tokens existed twice.

Change: the pool is refilled from the time at which the leader may lend.

Result: with two holders of which one is cut off during the change, a window exceeded its bound by 15 requests (quota 40 a second, burst 40); it stays within it now.

--- a/crates/policy/src/quota_lender.rs
+++ b/crates/policy/src/quota_lender.rs
@@ -121,6 +121,7 @@
     refill_per_s: f64,
     /// Tokens of the unlent share, as a fraction of the burst.
     pool_tokens: f64,
+    /// Time up to which the pool is refilled.
     pool_us: u64,
     loans: IndexMap<Arc<str>, Loan>,
 }
@@ -227,10 +228,12 @@
         self.sweep_if_due(now_us);
         let is_waiting = now_us < self.lendable_us;
         let pool_tokens = self.initial_pool(now_us, demand.refill_per_s);
+        // Until then, holders that this lender does not know may use what it counts as unlent.
+        let pool_us = now_us.max(self.lendable_us);
         let (_, account) = entry(&mut self.accounts, account, || Account {
             refill_per_s: demand.refill_per_s,
             pool_tokens,
-            pool_us: now_us,
+            pool_us,
             loans: IndexMap::new(),
         });
         account.advance(now_us);
--- a/crates/policy/tests/quotas/invariants.rs
+++ b/crates/policy/tests/quotas/invariants.rs
@@ -81,6 +81,35 @@
     world
 }
 
+/// Guards against tokens that a new leader lends from the part of a holder that is cut off from it and
+/// still uses that part.
+#[test]
+fn a_change_of_leader_lends_no_tokens_of_a_holder_that_is_cut_off() {
+    const TICK_US: u64 = 10 * US_PER_MS;
+    let mut world = World::new(2, QUOTA);
+    // Both nodes want more than half.
+    for _ in 0..300 {
+        (0..2).for_each(|node| send_requests(&mut world, node, 2));
+        (0..2).for_each(|node| world.report(node, PROMPT));
+        world.advance(TICK_US);
+    }
+    world.change_leader();
+    for tick in 0..600 {
+        if tick >= 450 {
+            (0..2).for_each(|node| send_requests(&mut world, node, 2));
+        }
+        world.report(1, PROMPT);
+        world.advance(TICK_US);
+    }
+    let of_cut_off = world
+        .admissions
+        .iter()
+        .filter(|(at_us, node)| *node == 0 && *at_us > world.now_us - 150 * TICK_US);
+    assert!(of_cut_off.count() >= 20, "the share is valid for its loan period");
+    let excess = world.max_excess(QUOTA);
+    assert!(excess <= 0.0, "a window exceeds its bound by {excess}");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 2_000, ..ProptestConfig::default() })]
 
--- a/crates/policy/tests/quotas/rules.rs
+++ b/crates/policy/tests/quotas/rules.rs
@@ -134,6 +134,24 @@
     assert!(new.share > 0.9);
 }
 
+/// Guards against a pool that refills while holders that the new leader does not know still use the
+/// loans of its predecessor: it would count the same part of the quota twice.
+#[test]
+fn the_pool_of_a_new_leader_is_empty_until_earlier_loans_have_ended() {
+    let mut lender = QuotaLender::new(START_US, LeaderHistory::Successor);
+    let renewals = (1..=5).map(|second| START_US + second * US_PER_S);
+    for now_us in renewals {
+        let basis_us = now_us - US_PER_S;
+        let grant = lend(&mut lender, now_us, "vm-1", demand(0.5, 0.5, basis_us));
+        assert_eq!(grant, Some(Grant { share: 0.5, initial_burst_share: 0.0 }));
+    }
+    let lendable_us = START_US + LOAN_US + US_PER_S / 20;
+    let held = demand(0.9, 0.5, START_US + 5 * US_PER_S);
+    let grant = lend(&mut lender, lendable_us, "vm-1", held).expect("the report is new");
+    assert!(grant.share > 0.5, "{grant:?}");
+    assert_eq!(grant.initial_burst_share, 0.0);
+}
+
 /// Guards against a delayed report of a process that has ended.
 #[test]
 fn reports_of_an_earlier_process_are_ignored() {
