Test the quotas of nodes at three replicas across a change of leader

Cause: no test covered the forwarding of demands with Replica.LendQuota by real connections, nor a change of leader.

Change: three replicas in this process, each with a runtime of its own, one loaded node at each and a new holder that attaches after the leader stopped. The test checks that the nodes of the other replicas are served without a gap, that the share of the node at the stopped replica ends, that the new holder gets a share, and that no window exceeds the quota.

--- a/crates/mesh/src/account_quotas/tests.rs
+++ b/crates/mesh/src/account_quotas/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of the quotas of nodes that are attached to a control replica by real connections.
 
+mod leader_change;
+
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -43,13 +45,13 @@
 /// Node that only reports the demands of its accounts.
 struct QuotaNode {
     vm: String,
-    control: SocketAddr,
+    controls: Vec<SocketAddr>,
     quotas: Arc<AccountQuotas>,
 }
 
 impl AttachedNode for QuotaNode {
     fn control_addresses(&self) -> Vec<SocketAddr> {
-        vec![self.control]
+        self.controls.clone()
     }
 
     fn report(&mut self) -> NodeReport {
@@ -80,9 +82,10 @@
 }
 
 impl TestNode {
-    fn attach(vm: &str, control: SocketAddr) -> Self {
+    fn attach(vm: &str, controls: &[SocketAddr]) -> Self {
         let quotas = new_quotas();
-        let node = QuotaNode { vm: vm.to_owned(), control, quotas: Arc::clone(&quotas) };
+        let controls = controls.to_vec();
+        let node = QuotaNode { vm: vm.to_owned(), controls, quotas: Arc::clone(&quotas) };
         let (stop, stopped) = watch::channel(false);
         let (report_trigger, triggered) = watch::channel(0);
         let link = ControlLink::new(log(), node, triggered, stopped)
@@ -94,24 +97,41 @@
     }
 }
 
-/// Starts a replica in this process.
-async fn start_control(data_dir: &TempDir) -> SocketAddr {
+/// Returns an address for a replica of a test, which no other test process uses at this time.
+fn replica_address(host: u8) -> SocketAddr {
     let process_id = std::process::id();
-    let ip = Ipv4Addr::new(127, 160 + (process_id >> 8) as u8 % 64, process_id as u8, 1);
-    let address = SocketAddr::new(IpAddr::V4(ip), 7620);
-    let settings = control::Settings {
+    let ip = Ipv4Addr::new(127, 160 + (process_id >> 8) as u8 % 64, process_id as u8, host);
+    SocketAddr::new(IpAddr::V4(ip), 7620)
+}
+
+fn admin_address(replica: SocketAddr) -> SocketAddr {
+    SocketAddr::new(replica.ip(), 7621)
+}
+
+fn replica_settings(
+    address: SocketAddr,
+    members: Vec<SocketAddr>,
+    data_dir: &TempDir,
+) -> control::Settings {
+    control::Settings {
         cluster_id: CLUSTER_ID.to_owned(),
         data_centre: DataCentreName::new("osu").expect("the name is valid"),
         listen: address,
         advertise: address,
-        admin_listen: SocketAddr::new(IpAddr::V4(ip), 7621),
+        admin_listen: admin_address(address),
         data_dir: data_dir.path().to_owned(),
-        members: vec![address],
+        members,
         formation: Formation::InitialMembers,
         operator_token: None,
         claim_window_ms: 60_000,
         election_timeout_ms: 300,
-    };
+    }
+}
+
+/// Starts a replica in this process.
+async fn start_control(data_dir: &TempDir) -> SocketAddr {
+    let address = replica_address(1);
+    let settings = replica_settings(address, vec![address], data_dir);
     tokio::spawn(async move {
         control::run(log(), settings).await.expect("the replica runs");
     });
@@ -187,7 +207,7 @@
 async fn the_sum_over_nodes_stays_in_the_bound_when_a_node_is_cut_off() {
     let data_dir = TempDir::new().expect("the data folder can be created");
     let control = start_control(&data_dir).await;
-    let nodes = ["vm-1", "vm-2", "vm-3"].map(|vm| TestNode::attach(vm, control));
+    let nodes = ["vm-1", "vm-2", "vm-3"].map(|vm| TestNode::attach(vm, &[control]));
     for node in &nodes {
         wait_until_admitted(&node.quotas).await;
     }
