Ignore larger shares in answers to reports from before a reduction

Cause: a holder that gave up part of its share applied a grant which answered an earlier report. The leader that took the part away answers such reports with what it still counts as lent, but a new leader renews the share that the report claims, and the earlier leader may have lent it to others since.

Change: a node that has applied a smaller share raises it only by a grant that answers a later report. It costs one round trip if the grant came from the same leader.

Result: with the report delayed by 0.5 s, a lost answer and a change of leader, the shares of two nodes summed to 1.5; they sum to 1 now.

--- a/crates/policy/src/quota_bucket.rs
+++ b/crates/policy/src/quota_bucket.rs
@@ -170,6 +170,9 @@
     /// Time at which the last loan ended before it was renewed. Reports from before it claimed a
     /// share that the lender may have lent to others since.
     lapsed_us: u64,
+    /// Time at which a smaller share was last applied. Reports from before it claimed a share that
+    /// may be lent to others since.
+    reduced_us: u64,
     tokens: f64,
     /// Tokens that were given up with a smaller share and that no report has returned yet.
     returned_tokens: f64,
@@ -198,6 +201,7 @@
             loan_end_us: 0,
             basis_us: 0,
             lapsed_us: now_us,
+            reduced_us: now_us,
             tokens: 0.0,
             returned_tokens: 0.0,
             refilled_us: now_us,
@@ -303,7 +307,8 @@
     }
 
     /// Applies a grant unless a later one was applied, its loan has ended, or the loan that it renews
-    /// ended before it arrived.
+    /// ended before it arrived. A grant that answers a report from before the last reduction raises no
+    /// share.
     pub fn apply(&mut self, now_us: u64, grant: ShareGrant) -> GrantEffect {
         self.refill(now_us, self.quota);
         let loan_end_us = grant.report_us.saturating_add(LOAN_US);
@@ -316,7 +321,12 @@
         if is_outdated || !is_valid {
             return GrantEffect::Ignored;
         }
-        let previous_share = std::mem::replace(&mut self.share, grant.share);
+        let previous_share = self.share;
+        // A new leader may renew a share that was given up, if the report that it answers is older.
+        self.share = match grant.report_us < self.reduced_us {
+            true => grant.share.min(previous_share),
+            false => grant.share,
+        };
         self.basis_us = grant.report_us;
         self.loan_end_us = loan_end_us;
         if grant.report_us > self.abandoned_us {
@@ -326,6 +336,7 @@
         let tokens = self.tokens;
         self.cap_tokens();
         if grant.share < previous_share {
+            self.reduced_us = now_us;
             self.returned_tokens += tokens - self.tokens;
         }
         while self.sent_reports.front().is_some_and(|sent| sent.report_us < grant.report_us) {
--- a/crates/policy/tests/quotas/invariants.rs
+++ b/crates/policy/tests/quotas/invariants.rs
@@ -81,6 +81,40 @@
     world
 }
 
+/// Guards against a share that a new leader renews by a report from before the holder gave it up: the
+/// earlier leader has lent it to others since.
+#[test]
+fn a_delayed_report_does_not_bring_back_a_share_that_was_given_up() {
+    let mut world = World::new(2, QUOTA);
+    let round = |world: &mut World, node: usize| {
+        world.report(node, PROMPT);
+        world.advance(10 * US_PER_MS);
+    };
+    for _ in 0..100 {
+        send_requests(&mut world, 0, 2);
+        round(&mut world, 0);
+    }
+    let now_us = world.boot_us(0);
+    assert!(world.nodes[0].bucket.share(now_us) > 0.9);
+    // Both want more than half. The report arrives after the change of leader.
+    send_requests(&mut world, 1, 60);
+    round(&mut world, 1);
+    world.report(0, PROMPT);
+    world.advance(US_PER_MS);
+    world.report(0, Delays { up_us: 500 * US_PER_MS, ..PROMPT });
+    world.advance(10 * US_PER_MS);
+    // The answer to the report that confirms the reduction is lost.
+    world.report(0, Delays { down_us: LOST_US, ..PROMPT });
+    world.advance(10 * US_PER_MS);
+    send_requests(&mut world, 1, 60);
+    round(&mut world, 1);
+    let now_us = world.boot_us(1);
+    assert!(world.nodes[1].bucket.share(now_us) > 0.3, "the share has moved");
+    world.change_leader();
+    // The world checks the sum of the shares.
+    world.advance(US_PER_S);
+}
+
 /// Guards against tokens that a new leader lends from the part of a holder that is cut off from it and
 /// still uses that part.
 #[test]
