--- a/crates/policy/src/quota_lender.rs
+++ b/crates/policy/src/quota_lender.rs
@@ -143,6 +143,7 @@
     refill_per_s: f64,
     /// Tokens of the unlent share, as a fraction of the burst.
     pool_tokens: f64,
+    /// Time up to which the pool is refilled.
     pool_us: u64,
     loans: IndexMap<Arc<str>, Loan>,
     /// Share that predecessors may have lent.
