Refill the pool of a new leader only from the end of earlier loans

Cause: at the end of the waiting period the pool was refilled for the time since the last report as if the shares of predecessors had been unlent then; found by the test of the review. Change: the refill of these shares starts when the loans have ended.

--- a/crates/policy/src/quota_lender.rs
+++ b/crates/policy/src/quota_lender.rs
@@ -183,7 +183,12 @@
     }
 
     /// Refills the pool at the share that was unlent until now, then removes ended loans.
-    fn advance(&mut self, now_us: u64, phase: Phase) {
+    ///
+    /// The share that predecessors may have lent refills the pool from `lendable_us` on only.
+    fn advance(&mut self, now_us: u64, phase: Phase, lendable_us: u64) {
+        if phase == Phase::Regular {
+            self.pool_us = self.pool_us.max(lendable_us);
+        }
         let elapsed_s = now_us.saturating_sub(self.pool_us) as f64 / US_PER_S as f64;
         self.pool_us = self.pool_us.max(now_us);
         let unlent = self.unlent(phase);
@@ -300,7 +305,7 @@
             return None;
         }
         self.sweep_if_due(now_us);
-        let phase = self.phase(now_us);
+        let (phase, lendable_us) = (self.phase(now_us), self.lendable_us);
         let inherited = self.inherited.get(account).copied().unwrap_or(0.0);
         let pool_tokens = self.initial_pool(now_us, inherited, demand.refill_per_s);
         let name = account;
@@ -313,7 +318,7 @@
             lent_beyond_inherited: 0.0,
             ceiling: inherited,
         });
-        account.advance(now_us, phase);
+        account.advance(now_us, phase, lendable_us);
         account.refill_per_s = demand.refill_per_s;
         let (index, loan) = entry(&mut account.loans, reporter.vm, || Loan {
             incarnation: reporter.incarnation,
@@ -398,7 +403,7 @@
             return;
         }
         self.swept_us = now_us;
-        let phase = self.phase(now_us);
+        let (phase, lendable_us) = (self.phase(now_us), self.lendable_us);
         if now_us.saturating_sub(self.lendable_us) >= FORGOTTEN_US {
             for (name, _) in self.inherited.drain(..) {
                 if !self.accounts.contains_key(&name) {
@@ -408,7 +413,7 @@
         }
         let (changed_ceilings, inherited) = (&mut self.changed_ceilings, &mut self.inherited);
         self.accounts.retain(|name, account| {
-            account.advance(now_us, phase);
+            account.advance(now_us, phase, lendable_us);
             let is_kept = phase == Phase::Inheriting
                 || !account.loans.is_empty()
                 || account.pool_tokens < FULL_POOL;
