--- a/crates/mesh/src/attachment.rs
+++ b/crates/mesh/src/attachment.rs
@@ -240,7 +240,6 @@
             wants_freshness_proof: stamp_us.is_some(),
             incarnation: self.incarnation,
             quota_demands,
-            ..NodeReport::default()
         }
     }
 }
--- a/crates/testbed/tests/freshness_proofs.rs
+++ b/crates/testbed/tests/freshness_proofs.rs
@@ -212,7 +212,11 @@
         let counts: Vec<usize> = nodes.proofs.iter().map(|proofs| lock(proofs).len()).collect();
         let logs: Vec<String> =
             cluster.controls.iter().map(|control| control.process.log_text()).collect();
-        panic!("{error}: {counts:?} proofs by replica\n{}", logs.join("\n"));
+        let lookup = cluster.links().expect("the cluster has relays").max_source_lookup();
+        panic!(
+            "{error}: {counts:?} proofs by replica, {lookup:?} for a lookup by a relay\n{}",
+            logs.join("\n")
+        );
     }
     let replica = begin(&cluster, leader);
     thread::sleep(SETTLE_TIME);
@@ -226,6 +230,8 @@
     operator.thread.join().expect("the operator does not panic");
     nodes.stop.send_replace(true);
     nodes.thread.join().expect("the nodes do not panic");
+    let lookup = cluster.links().expect("the cluster has relays").max_source_lookup();
+    println!("longest lookup of the source of a connection by a relay: {lookup:?}");
     let acknowledgements = lock(&operator.acknowledgements);
     assert!(acknowledgements.len() > 10, "only {} changes", acknowledgements.len());
     for (index, proofs) in nodes.proofs.iter().enumerate() {
