Let slopes measure mesh nodes, which call all services

Mesh nodes list all services in each report, ask for freshness proofs and change their endpoints now and then; so far slopes subscribed each node to 4 services whose endpoints stay as they are. The task now measures 100, 200 and 400 nodes of this kind too.

--- a/xtask/src/slopes.rs
+++ b/xtask/src/slopes.rs
@@ -8,11 +8,12 @@
 use std::time::{Duration, Instant};
 
 use control_link::{AttachedNode, ControlLink, LinkEvent};
+use daemon::BootClock;
 use hdrhistogram::Histogram;
 use prost::Message;
 use rpc::claims_client::ClaimsClient;
 use rpc::directory_client::DirectoryClient;
-use rpc::{ClaimRequest, ClaimStatus, ControlUpdate, Endpoint, NodeReport};
+use rpc::{ClaimRequest, ClaimStatus, ControlUpdate, Endpoint, NodeReport, UpstreamProcess};
 use slog::{Discard, Logger, o};
 use testbed::cluster::Cluster;
 use testbed::deployment::Deployment;
@@ -26,6 +27,11 @@
 use crate::error::TaskError;
 
 const NODE_COUNTS: [usize; 4] = [50, 100, 200, 400];
+/// Numbers of mesh nodes, each of which calls all services.
+const MESH_NODE_COUNTS: [usize; 3] = [100, 200, 400];
+/// Reports of a mesh node between two changes of its endpoint: each upstream changes the limit that
+/// it reports every 20 s.
+const REPORTS_PER_CHANGE: u64 = 20;
 const SEARCHING_NODE_COUNTS: [usize; 3] = [30, 60, 120];
 const NODES_PER_SERVICE: usize = 9;
 const CALLED_SERVICES_PER_NODE: usize = 3;
@@ -44,7 +50,11 @@
     let runtime =
         tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
     let points: Result<Vec<NodePoint>, TaskError> =
-        NODE_COUNTS.iter().map(|node_count| measure_nodes(&runtime, *node_count)).collect();
+        NODE_COUNTS.iter().map(|count| measure_nodes(&runtime, *count, first_report)).collect();
+    print_slopes(&points?);
+    println!("mesh nodes, all services called, an endpoint changes every {REPORTS_PER_CHANGE} s");
+    let points: Result<Vec<NodePoint>, TaskError> =
+        MESH_NODE_COUNTS.iter().map(|count| measure_nodes(&runtime, *count, mesh_report)).collect();
     print_slopes(&points?);
     for node_count in SEARCHING_NODE_COUNTS {
         measure_search(&runtime, node_count)?;
@@ -89,13 +99,19 @@
     ProcessUsage { cpu_ticks: field(11) + field(12), resident_bytes: field(21) * PAGE_BYTES }
 }
 
-fn measure_nodes(runtime: &Runtime, node_count: usize) -> Result<NodePoint, TaskError> {
+/// Measures nodes whose first reports `first_report` returns for an index and the number of nodes.
+fn measure_nodes(
+    runtime: &Runtime,
+    node_count: usize,
+    first_report: fn(usize, usize) -> NodeReport,
+) -> Result<NodePoint, TaskError> {
     let cluster = Cluster::start_controls(Deployment::pair())?;
     cluster.apply_profiles()?;
     let counters = Arc::new(NodeCounters::default());
     for node_index in 0..node_count {
         let control = cluster.controls[node_index % cluster.controls.len()].address;
-        runtime.spawn(simulate_node(control, node_index, node_count, Arc::clone(&counters)));
+        let report = first_report(node_index, node_count);
+        runtime.spawn(simulate_node(control, report, Arc::clone(&counters)));
     }
     wait_until("every simulated node is attached", START_TIMEOUT, || {
         counters.attached.load(Ordering::Relaxed) >= node_count as u64
@@ -229,16 +245,10 @@
 }
 
 /// Simulates the reports of a node and counts the encoded bytes of its messages.
-async fn simulate_node(
-    control: SocketAddr,
-    node_index: usize,
-    node_count: usize,
-    counters: Arc<NodeCounters>,
-) {
+async fn simulate_node(control: SocketAddr, mut report: NodeReport, counters: Arc<NodeCounters>) {
     let Ok(endpoint) = Channel::from_shared(format!("http://{control}")) else { return };
     let mut client = DirectoryClient::new(endpoint.connect_lazy());
     let (reports, receiver) = mpsc::channel(4);
-    let mut report = first_report(node_index, node_count);
     // Cannot fail: the channel is empty.
     let _ = reports.try_send(report.clone());
     let Ok(updates) = client.attach(ReceiverStream::new(receiver)).await else { return };
@@ -256,9 +266,7 @@
             _ = interval.tick() => true,
         };
         if must_report {
-            if let Some(endpoint) = &mut report.endpoint {
-                endpoint.sequence += 1;
-            }
+            renew_report(&mut report);
             counters.sent_bytes.fetch_add(report.encoded_len() as u64, Ordering::Relaxed);
             if reports.send(report.clone()).await.is_err() {
                 return;
@@ -267,6 +275,17 @@
     }
 }
 
+/// Gives a report the next sequence number, and that of a mesh node a new stamp and sometimes a new
+/// limit.
+fn renew_report(report: &mut NodeReport) {
+    let Some(endpoint) = &mut report.endpoint else { return };
+    endpoint.sequence += 1;
+    if let Some(upstream) = &mut endpoint.upstream {
+        upstream.limit_per_s = Some((endpoint.sequence / REPORTS_PER_CHANGE) as f64);
+        report.created_boot_us = BootClock.now_us().unwrap_or_default();
+    }
+}
+
 /// Copies the profile revision of an update into the report. Returns whether there was one.
 fn copy_revision(report: &mut NodeReport, update: &ControlUpdate) -> bool {
     let Some(profiles) = &update.profiles else { return false };
@@ -301,6 +320,32 @@
     }
 }
 
+/// Returns the first report of a mesh node, which calls all services and asks for freshness proofs.
+/// Its profile revision stays that of other nodes, so that the time until a change is in force can be
+/// measured.
+fn mesh_report(node_index: usize, node_count: usize) -> NodeReport {
+    let report = first_report(node_index, node_count);
+    let service_count = (node_count / NODES_PER_SERVICE).max(1);
+    let upstream = UpstreamProcess {
+        instance_id: format!("instance-{node_index}"),
+        address: "127.0.0.1:8080".to_owned(),
+        started_unix_ms: 1_700_000_000_000,
+        ..UpstreamProcess::default()
+    };
+    // The changes of the nodes are spread evenly over the time between two changes of one of them.
+    let sequence = node_index as u64 % REPORTS_PER_CHANGE;
+    NodeReport {
+        endpoint: report.endpoint.map(|endpoint| Endpoint {
+            upstream: Some(upstream),
+            sequence,
+            ..endpoint
+        }),
+        called_services: (0..service_count).map(|index| format!("service-{index}")).collect(),
+        wants_freshness_proof: true,
+        ..report
+    }
+}
+
 /// Prints the least-squares fit of each quantity over the number of nodes.
 fn print_slopes(points: &[NodePoint]) {
     let print_fit = |name: &str, value: fn(&NodePoint) -> f64| {
