Let requests wait longer for a token of the share that the node holds

Cause: a large account has callers on most nodes, each with a share of a few requests a second and a bucket of one token. Change: a request waits up to three eighths of the objective for a token whose time is known; refusals stay immediate.

--- a/crates/mesh/src/account_quotas.rs
+++ b/crates/mesh/src/account_quotas.rs
@@ -11,7 +11,7 @@
 use indexmap::IndexMap;
 use model::{ClientAccount, Quota, Reason};
 use policy::quota_bucket::{
-    GrantEffect, LOAN_US, QuotaBucket, QuotaDecision, ShareGrant, ShareOutlook,
+    GrantEffect, LOAN_US, QuotaBucket, QuotaDecision, RemainingWait, ShareGrant, ShareOutlook,
 };
 use policy::{US_PER_MS, US_PER_S};
 use rpc::{QuotaDemand, QuotaGrants};
@@ -30,6 +30,11 @@
 /// Interval at which a surplus is looked for. Demand may leave a node at once, and others get its
 /// share only when the node reports.
 const SURPLUS_INTERVAL: Duration = Duration::from_millis(100);
+/// Factor by which a request may wait longer for a token of the share that the node holds than for a
+/// larger share. The wait is known in advance, so a request that would not get its token in time is
+/// refused at once. With a maximum wait of an eighth of the latency objective, more than half of the
+/// objective is left for the request.
+const ROOM_WAIT_FACTOR: u32 = 3;
 /// Maximum number of requests of one account that wait for a share.
 const MAX_WAITING: usize = 1_024;
 /// Time without a refusal after which an account is no longer logged as over its quota, in
@@ -106,11 +111,18 @@
 }
 
 impl Verdict {
-    /// Returns how long the request waits before it is decided again, at most `remaining`. `None` if
-    /// waiting does not help.
-    fn wait(self, remaining: Duration) -> Option<Duration> {
-        let remaining_us = u64::try_from(remaining.as_micros()).unwrap_or(u64::MAX);
-        self.decision.wait_us(self.outlook, remaining_us).map(Duration::from_micros)
+    /// Returns how long a request that has waited for `waited` waits before it is decided again, given
+    /// the maximum wait for a share. `None` if waiting does not help.
+    fn wait(self, waited: Duration, max_wait: Duration) -> Option<Duration> {
+        let remaining_us = |max_wait: Duration| {
+            let remaining = max_wait.saturating_sub(waited);
+            u64::try_from(remaining.as_micros()).unwrap_or(u64::MAX)
+        };
+        let remaining = RemainingWait {
+            for_room_us: remaining_us(max_wait * ROOM_WAIT_FACTOR),
+            for_share_us: remaining_us(max_wait),
+        };
+        self.decision.wait_us(self.outlook, remaining).map(Duration::from_micros)
     }
 }
 
@@ -144,8 +156,8 @@
         self.report_requests.subscribe()
     }
 
-    /// Admits a request of an account within its quota. Waits at most `max_wait` for a share or for
-    /// room in the share that the node holds.
+    /// Admits a request of an account within its quota. Waits at most `max_wait` for a share, and
+    /// [`ROOM_WAIT_FACTOR`] times as long for room in the share that the node holds.
     ///
     /// # Errors
     ///
@@ -163,7 +175,7 @@
         let now_us = BootClock.now_us().ok_or_else(unavailable)?;
         let shared = self.account(now_us, &account.name, quota);
         let mut verdict = self.offer(now_us, &shared, quota);
-        if verdict.wait(max_wait).is_some() {
+        if verdict.wait(Duration::ZERO, max_wait).is_some() {
             verdict = self.wait_for_room(&shared, quota, max_wait).await?.unwrap_or(verdict);
         }
         self.finish(&account.name, &shared, verdict)
@@ -179,15 +191,15 @@
     ) -> Result<Option<Verdict>, CallFailure> {
         let Some((_place, mut ahead)) = WaitingPlace::take(account) else { return Ok(None) };
         self.metrics.quota_waits.inc();
-        let deadline = Instant::now() + max_wait;
+        let started = Instant::now();
         loop {
             // Created before the decision, so that a grant between the two is not missed.
             let granted = account.granted.notified();
             let verdict = self.decide(account, quota, ahead)?;
             ahead = 0;
-            let remaining = deadline.saturating_duration_since(Instant::now());
-            let wait = verdict.wait(remaining).filter(|_| !remaining.is_zero());
-            let Some(wait) = wait else { return Ok(Some(verdict)) };
+            let Some(wait) = verdict.wait(started.elapsed(), max_wait) else {
+                return Ok(Some(verdict));
+            };
             let _ = tokio::time::timeout(wait, granted).await;
         }
     }
--- a/crates/policy/src/quota_bucket.rs
+++ b/crates/policy/src/quota_bucket.rs
@@ -76,15 +76,31 @@
     Limited,
 }
 
+/// Times that a request may still wait, in microseconds.
+///
+/// Load pattern: a large account has callers on most nodes, so that each holds a share of a few
+/// requests a second and a bucket of one token. Requests that arrive close together would be refused
+/// although the account is within its quota; the time until their token is there is known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RemainingWait {
+    /// For a token of the share that the node holds.
+    pub for_room_us: u64,
+    /// For a larger share, which may not come.
+    pub for_share_us: u64,
+}
+
 impl QuotaDecision {
-    /// Returns how long the request waits before it is decided again, given the longest time that it
-    /// may still wait, in microseconds. `None` if it is admitted or waiting does not help.
-    pub fn wait_us(self, outlook: ShareOutlook, remaining_us: u64) -> Option<u64> {
+    /// Returns how long the request waits before it is decided again, given the times that it may
+    /// still wait. `None` if it is admitted or waiting does not help.
+    pub fn wait_us(self, outlook: ShareOutlook, remaining: RemainingWait) -> Option<u64> {
+        let for_share = Some(remaining.for_share_us).filter(|wait_us| *wait_us > 0);
         match (self, outlook) {
             (Self::Admitted, _) => None,
-            (Self::NoShare, _) => Some(remaining_us),
-            (Self::Refused { room_in_us }, _) if room_in_us <= remaining_us => Some(room_in_us),
-            (Self::Refused { .. }, ShareOutlook::MayGrow) => Some(remaining_us),
+            (Self::NoShare, _) => for_share,
+            (Self::Refused { room_in_us }, _) if room_in_us <= remaining.for_room_us => {
+                Some(room_in_us)
+            }
+            (Self::Refused { .. }, ShareOutlook::MayGrow) => for_share,
             (Self::Refused { .. }, ShareOutlook::Limited) => None,
         }
     }
