--- a/review/stand-in/src/main.rs
+++ b/review/stand-in/src/main.rs
@@ -1,9 +1,11 @@
 //! Cases of the review. Each plays events against the programs of the deploy file and checks one
 //! rule by what clients and instances see.
 
+mod case_leave;
 mod case_replacements;
 mod deployment;
 mod http;
+mod instance;
 mod record;
 
 use std::path::Path;
@@ -25,6 +27,7 @@
     let (root, folder) = (Path::new(root), Path::new(folder));
     let record = record::Record::create(Path::new(record));
     let result = record.and_then(|record| match case.as_str() {
+        "leave" => case_leave::run(root, folder, &record, has_trouble),
         "replacements" => case_replacements::run(root, folder, &record, has_trouble),
         _ => Err(format!("there is no case {case}")),
     });
