--- a/review/stand-in/src/main.rs
+++ b/review/stand-in/src/main.rs
@@ -2,6 +2,7 @@
 //! rule by what clients and instances see.
 
 mod case_leave;
+mod case_pipeline;
 mod case_replacements;
 mod deployment;
 mod http;
@@ -28,6 +29,7 @@
     let record = record::Record::create(Path::new(record));
     let result = record.and_then(|record| match case.as_str() {
         "leave" => case_leave::run(root, folder, &record, has_trouble),
+        "pipeline" => case_pipeline::run(root, folder, &record, has_trouble),
         "replacements" => case_replacements::run(root, folder, &record, has_trouble),
         _ => Err(format!("there is no case {case}")),
     });
