--- a/review/stand-in/src/main.rs
+++ b/review/stand-in/src/main.rs
@@ -1,6 +1,7 @@
 //! Cases of the review. Each plays events against the programs of the deploy file and checks one
 //! rule by what clients and instances see.
 
+mod case_late_beat;
 mod case_leave;
 mod case_pipeline;
 mod case_replacements;
@@ -28,6 +29,7 @@
     let (root, folder) = (Path::new(root), Path::new(folder));
     let record = record::Record::create(Path::new(record));
     let result = record.and_then(|record| match case.as_str() {
+        "late-beat" => case_late_beat::run(root, folder, &record, has_trouble),
         "leave" => case_leave::run(root, folder, &record, has_trouble),
         "pipeline" => case_pipeline::run(root, folder, &record, has_trouble),
         "replacements" => case_replacements::run(root, folder, &record, has_trouble),
