Count a leader as in contact with itself

Callers saw: a core of four without a write for 8 s lost its leader in calm, and with it the configuration for the time of an election.

Cause: the leader enters the contact age of each member into the choice of the member to remove. For itself, Raft::follower_contact_age_us returned the time since its last write to the disk, which grows in calm.

Change: the age of the leader itself is zero; the method is called member_contact_age_us, as it takes any member. Test: leader_is_in_contact_with_itself.

--- a/crates/consensus/src/progress.rs
+++ b/crates/consensus/src/progress.rs
@@ -9,6 +9,8 @@
     pub(crate) match_index: Index,
     /// Index of the next entry to send.
     pub(crate) next_index: Index,
+    /// Time of the creation: the begin of the leader's term, or the admission of the member.
+    pub(crate) created_us: u64,
     /// Time of the last reply, or of the creation before any reply.
     pub(crate) last_contact_us: u64,
     /// Snapshot transfer in progress.
@@ -31,6 +33,7 @@
         Self {
             match_index: 0,
             next_index: last_index + 1,
+            created_us: now_us,
             last_contact_us: now_us,
             snapshot: None,
             is_paused: false,
--- a/crates/consensus/src/raft.rs
+++ b/crates/consensus/src/raft.rs
@@ -218,9 +218,20 @@
     }
 
     /// Returns the time since the last reply of a member to this leader, in microseconds, or
-    /// `None` unless this replica leads and `id` is a member.
-    pub fn follower_contact_age_us(&self, now_us: u64, id: ReplicaId) -> Option<u64> {
-        self.progress.get(&id).map(|progress| now_us.saturating_sub(progress.last_contact_us))
+    /// `None` unless this replica leads and `id` is a member. The leader itself counts as in contact
+    /// now.
+    pub fn member_contact_age_us(&self, now_us: u64, id: ReplicaId) -> Option<u64> {
+        let progress = self.progress.get(&id)?;
+        match id == self.settings.id {
+            true => Some(0),
+            false => Some(now_us.saturating_sub(progress.last_contact_us)),
+        }
+    }
+
+    /// Returns the time for which this leader has known a member, in microseconds, or `None` unless
+    /// this replica leads and `id` is a member.
+    pub fn member_known_us(&self, now_us: u64, id: ReplicaId) -> Option<u64> {
+        self.progress.get(&id).map(|progress| now_us.saturating_sub(progress.created_us))
     }
 
     /// Returns whether this replica leads and has committed an entry of its current term.
--- a/crates/consensus/tests/raft_rules.rs
+++ b/crates/consensus/tests/raft_rules.rs
@@ -219,3 +219,15 @@
     sync_and_acknowledge(&mut raft, 2, last_index);
     assert_eq!(raft.content_age_us(now_us), 0);
 }
+
+/// Guards against a leader that takes itself for lost because it has written nothing for long.
+#[test]
+fn leader_is_in_contact_with_itself() {
+    let mut raft = elected_leader(1, vec![entry(1, 1)]);
+    let last_index = raft.last_index();
+    sync_and_acknowledge(&mut raft, 2, last_index);
+    let now_us = NOW_US + 100 * ELECTION_TIMEOUT_US;
+    assert_eq!(raft.member_contact_age_us(now_us, ReplicaId(1)), Some(0));
+    let other = raft.member_contact_age_us(now_us, ReplicaId(2));
+    assert_eq!(other, Some(97 * ELECTION_TIMEOUT_US));
+}
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -424,7 +424,7 @@
             return;
         }
         let contact_age_us =
-            |id: ReplicaId| self.raft.follower_contact_age_us(now_us, id).unwrap_or_default();
+            |id: ReplicaId| self.raft.member_contact_age_us(now_us, id).unwrap_or_default();
         if let Some(id) = membership::member_to_remove(&membership, contact_age_us) {
             let mut next = membership;
             next.members.shift_remove(&id);
