Replace a lost voter by its successor instead of adding the successor beside it

Cause: a successor at another address became a voter beside the dead one, so that the quorum grew.

Change: membership::next_step. A lost voter (1.5 s without contact) is removed before the caught-up successor is promoted: the quorum of the remaining voters is never larger. A learner waits as long, so that a voter that was lost just before its admission is known to be lost. A voter whose address has a later member is removed at once, since its disk is gone. Without a successor, a lost voter of an even number is removed at once, one of two of an odd number after 8 s. Learners that are gone are removed too. Nothing is removed without a quorum in contact. A replica that was removed while it was away asks to join after 1 s, not 2 s, and probes all replicas at the same time: each dead one took 0.5 s before.

--- a/crates/control/src/formation.rs
+++ b/crates/control/src/formation.rs
@@ -10,6 +10,7 @@
 
 use consensus::{Member, Membership, ReplicaId};
 use daemon::Clock;
+use futures_util::future::join_all;
 use indexmap::IndexSet;
 use rpc::replica_client::ReplicaClient;
 use rpc::{IdentifyRequest, JoinRequest, ReplicaIdentity, ReplicaMember};
@@ -24,10 +25,11 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Time without contact to a quorum after which a replica checks whether it is still a member, in
-/// microseconds.
-const REJOIN_CONTACT_AGE_US: u64 = 2_000_000;
+/// microseconds: longer than an election. A replica that was removed while it was cut off must be a
+/// voter again before the loss of another has to be borne.
+const REJOIN_CONTACT_AGE_US: u64 = 1_000_000;
 /// Delay between two of these checks.
-const REJOIN_INTERVAL: Duration = Duration::from_secs(1);
+const REJOIN_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Forms or joins the cluster, then joins again whenever the cluster has removed the replica.
 pub(crate) async fn run(log: Logger, clock: Clock, settings: Settings, replica: ReplicaHandle) {
@@ -133,19 +135,18 @@
     Membership { members: members.collect() }
 }
 
-/// Requests the identity of every replica in the settings and in `known`.
+/// Requests the identity of every replica in the settings and in `known`, of all at the same time,
+/// since a call to one that is down takes as long as its timeout.
 async fn probe_replicas(
     settings: &Settings,
     known: impl IntoIterator<Item = SocketAddr>,
 ) -> ProbedReplicas {
-    let mut replicas = Vec::new();
     let addresses: IndexSet<_> = settings.members.iter().copied().chain(known).collect();
-    for address in addresses {
-        if let Some(identity) = identify(settings, address).await {
-            replicas.push(ProbedReplica { address, identity });
-        }
-    }
-    ProbedReplicas(replicas)
+    let probes = addresses.into_iter().map(|address| async move {
+        let identity = identify(settings, address).await?;
+        Some(ProbedReplica { address, identity })
+    });
+    ProbedReplicas(join_all(probes).await.into_iter().flatten().collect())
 }
 
 async fn identify(settings: &Settings, member: SocketAddr) -> Option<ReplicaIdentity> {
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -18,7 +18,7 @@
 use tokio::sync::{oneshot, watch};
 
 use crate::claims::{ClaimKey, ClaimResult};
-use crate::membership;
+use crate::membership::{self, MemberHealth, MembershipStep};
 use crate::peers::Outbox;
 use crate::state::{Applied, Command, State, StateError};
 use crate::view::View;
@@ -193,6 +193,26 @@
     }
 }
 
+/// Health of the members as a leader sees it.
+struct RaftHealth<'a> {
+    raft: &'a Raft,
+    now_us: u64,
+}
+
+impl MemberHealth for RaftHealth<'_> {
+    fn contact_age_us(&self, id: ReplicaId) -> u64 {
+        self.raft.member_contact_age_us(self.now_us, id).unwrap_or_default()
+    }
+
+    fn known_us(&self, id: ReplicaId) -> u64 {
+        self.raft.member_known_us(self.now_us, id).unwrap_or_default()
+    }
+
+    fn is_caught_up(&self, id: ReplicaId) -> bool {
+        self.raft.match_index(id) >= Some(self.raft.commit_index())
+    }
+}
+
 /// Proposal of this replica whose log entry has not been applied yet.
 struct PendingProposal {
     /// Term in which the entry was appended; the entry at the index may be one of a later leader.
@@ -402,53 +422,48 @@
             return true;
         }
         membership.members.insert(id, Member { is_voter: false, ..member });
-        self.change_membership(now_us, membership, "learner-admitted", id)
+        self.change_membership(now_us, membership, "learner-admitted", id).is_some()
     }
 
-    /// As leader, promotes a learner whose log holds all committed entries. If there is none,
-    /// removes a replaced or permanently lost member.
+    /// As leader, makes the next change of the membership, if there is one.
     fn maintain_membership(&mut self) {
         if !self.raft.is_leader_with_current_term_commit() {
             return;
         }
         let now_us = self.clock.now_us();
-        let membership = self.raft.membership().clone();
-        let commit_index = self.raft.commit_index();
-        let is_caught_up = |id: &ReplicaId| self.raft.match_index(*id) >= Some(commit_index);
-        let learner =
-            membership.members.iter().find(|(id, member)| !member.is_voter && is_caught_up(id));
-        if let Some((id, _)) = learner {
-            let (id, mut next) = (*id, membership.clone());
-            next.members[&id].is_voter = true;
-            self.change_membership(now_us, next, "learner-promoted", id);
-            return;
-        }
-        let contact_age_us =
-            |id: ReplicaId| self.raft.member_contact_age_us(now_us, id).unwrap_or_default();
-        if let Some(id) = membership::member_to_remove(&membership, contact_age_us) {
-            let mut next = membership;
-            next.members.shift_remove(&id);
-            self.change_membership(now_us, next, "replica-removed", id);
+        let mut next = self.raft.membership().clone();
+        let health = RaftHealth { raft: &self.raft, now_us };
+        let Some(step) = membership::next_step(&next, &health) else { return };
+        match step {
+            MembershipStep::Promote(id) => {
+                next.members[&id].is_voter = true;
+                self.change_membership(now_us, next, "learner-promoted", id);
+            }
+            MembershipStep::Remove(id) => {
+                next.members.shift_remove(&id);
+                self.change_membership(now_us, next, "replica-removed", id);
+            }
         }
     }
 
-    /// Proposes a membership and logs `event`. Returns whether the membership was proposed.
+    /// Proposes a membership and logs `event`. Returns the index of the change, `None` if it was not
+    /// proposed.
     fn change_membership(
         &mut self,
         now_us: u64,
         next: Membership,
         event: &'static str,
         id: ReplicaId,
-    ) -> bool {
+    ) -> Option<Index> {
         match self.raft.propose_membership(now_us, next) {
             Ok(index) => {
                 info!(self.log, "{}", event; "replica" => %id, "index" => index);
-                true
+                Some(index)
             }
-            Err(ProposeError::ChangeInProgress | ProposeError::NotLeader(_)) => false,
+            Err(ProposeError::ChangeInProgress | ProposeError::NotLeader(_)) => None,
             Err(ProposeError::NotSingleVoterChange) => {
                 error!(self.log, "membership-refused"; "replica" => %id);
-                false
+                None
             }
         }
     }
--- a/crates/testbed/src/process.rs
+++ b/crates/testbed/src/process.rs
@@ -68,6 +68,21 @@
         program: &Path,
         arguments: impl IntoIterator<Item = String>,
         log_dir: &Path,
+    ) -> Result<Self, ProcessError> {
+        Self::start_with_environment(name, program, arguments, [], log_dir)
+    }
+
+    /// Starts a program as [`Process::start`] does, with additional environment variables.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the log cannot be opened or the program cannot be started.
+    pub fn start_with_environment(
+        name: impl Into<String>,
+        program: &Path,
+        arguments: impl IntoIterator<Item = String>,
+        environment: impl IntoIterator<Item = (String, String)>,
+        log_dir: &Path,
     ) -> Result<Self, ProcessError> {
         let name = name.into();
         let io_error = |error| ProcessError::Io(name.clone(), error);
@@ -75,6 +90,7 @@
         let log = File::options().create(true).append(true).open(&log_path).map_err(io_error)?;
         let child = Command::new(program)
             .args(arguments)
+            .envs(environment)
             .stdin(Stdio::null())
             .stdout(log.try_clone().map_err(io_error)?)
             .stderr(log)
