Remove a control replica at its planned stop if the others do not need its vote

The old replica stayed a voter until its silence was noticed. Of three replicas and the successor, three of four votes were needed meanwhile: a disk lost in that time left a configuration that could never be read again.

Change: a replica that is asked to stop asks the leader to remove it if the voters are even in number and more than three; the others tolerate as many losses without it. The leader answers once the removal is committed; the replica waits 0.5 s at most. One that only restarts joins again. With an odd number nothing changes.

The simulated weeks of replacements.rs contain planned replacements now.

--- a/crates/control/src/formation.rs
+++ b/crates/control/src/formation.rs
@@ -13,11 +13,14 @@
 use futures_util::future::join_all;
 use indexmap::IndexSet;
 use rpc::replica_client::ReplicaClient;
-use rpc::{IdentifyRequest, JoinRequest, ReplicaIdentity, ReplicaMember};
+use rpc::{IdentifyRequest, JoinRequest, LeaveRequest, ReplicaIdentity, ReplicaMember};
 use slog::{Logger, info, warn};
+use tokio::sync::oneshot;
 
+use crate::membership;
 use crate::peers;
 use crate::replica::{Input, ReplicaHandle};
+use crate::service::ServiceContext;
 use crate::settings::{Formation, Settings};
 
 /// Delay between two attempts to form or join a cluster.
@@ -31,6 +34,12 @@
 /// Delay between two of these checks.
 const REJOIN_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Maximum time that a stopping replica waits until it has been removed: many times the duration of a
+/// commit, and short against the grace time of a stop.
+const LEAVE_TIMEOUT: Duration = Duration::from_millis(500);
+const LEAVE_RETRY_DELAY: Duration = Duration::from_millis(20);
+const COMMIT_POLL_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Forms or joins the cluster, then joins again whenever the cluster has removed the replica.
 pub(crate) async fn run(log: Logger, clock: Clock, settings: Settings, replica: ReplicaHandle) {
     form_or_join(&log, &settings, &replica).await;
@@ -182,3 +191,51 @@
         Err(_) => warn!(log, "join-timed-out"; "peer" => address),
     }
 }
+
+/// Asks the leader to remove this replica, which stops, unless the others need its vote when it
+/// returns. Gives up after [`LEAVE_TIMEOUT`]; the leader then removes it once it is lost.
+pub(crate) async fn leave(context: &ServiceContext) {
+    let id = context.replica.view().id;
+    let is_removable = || membership::is_removed_at_stop(&context.replica.view().membership, id);
+    let removal = async {
+        while is_removable() {
+            if request_removal(context, id, false).await {
+                return true;
+            }
+            tokio::time::sleep(LEAVE_RETRY_DELAY).await;
+        }
+        false
+    };
+    let removed = tokio::time::timeout(LEAVE_TIMEOUT, removal).await;
+    info!(context.log, "replica-leaves"; "replica" => %id, "is_removed" => removed == Ok(true));
+}
+
+/// Asks the leader to remove a replica that stops. Returns whether the removal is committed.
+pub(crate) async fn request_removal(
+    context: &ServiceContext,
+    id: ReplicaId,
+    is_forwarded: bool,
+) -> bool {
+    let Some(channel) = context.leader_channel().filter(|_| !is_forwarded) else {
+        return remove_as_leader(context, id).await;
+    };
+    let request = LeaveRequest {
+        cluster_id: context.settings.cluster_id.clone(),
+        replica_id: id.0,
+        is_forwarded: true,
+    };
+    let reply = ReplicaClient::new(channel).leave(request).await;
+    reply.is_ok_and(|reply| reply.into_inner().is_removed)
+}
+
+async fn remove_as_leader(context: &ServiceContext, id: ReplicaId) -> bool {
+    let (reply, receiver) = oneshot::channel();
+    context.replica.input(Input::RemoveStopping { id, reply });
+    let Ok(Some(index)) = receiver.await else { return false };
+    let committed = async {
+        while context.replica.view().commit_index < index {
+            tokio::time::sleep(COMMIT_POLL_INTERVAL).await;
+        }
+    };
+    tokio::time::timeout(LEAVE_TIMEOUT, committed).await.is_ok()
+}
--- a/crates/control/src/membership.rs
+++ b/crates/control/src/membership.rs
@@ -68,6 +68,13 @@
     abandoned.map(|(id, _)| MembershipStep::Remove(*id))
 }
 
+/// Returns whether a replica that stops is to be removed: the others tolerate as many losses without
+/// it as they do while it runs. It joins again if it returns.
+pub fn is_removed_at_stop(membership: &Membership, id: ReplicaId) -> bool {
+    let voters = membership.voters().count();
+    membership.is_voter(id) && voters > MIN_VOTERS && voters.is_multiple_of(2)
+}
+
 /// Returns a member that has the address of a member that was added after it. The later one runs
 /// with an empty disk, so the earlier one is gone with its disk.
 fn superseded_member(membership: &Membership) -> Option<ReplicaId> {
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -88,6 +88,7 @@
     Message { from: ReplicaId, from_address: String, message: Message },
     Propose { command: Command, reply: ProposalReply },
     AddLearner { id: ReplicaId, member: Member, reply: oneshot::Sender<bool> },
+    RemoveStopping { id: ReplicaId, reply: oneshot::Sender<Option<Index>> },
     LookUpClaim { key: ClaimKey, holder: u64, reply: oneshot::Sender<Option<ClaimResult>> },
     FormCluster { membership: Membership },
     Stop,
@@ -280,6 +281,9 @@
                 let is_admitted = self.add_learner(now_us, id, member);
                 let _ = reply.send(is_admitted);
             }
+            Input::RemoveStopping { id, reply } => {
+                let _ = reply.send(self.remove_stopping(now_us, id));
+            }
             Input::LookUpClaim { key, holder, reply } => {
                 let _ = reply.send(self.known_claim_result(&key, holder));
             }
@@ -425,6 +429,17 @@
         self.change_membership(now_us, membership, "learner-admitted", id).is_some()
     }
 
+    /// Removes a replica that stops, unless the others need its vote when it returns. Returns the
+    /// index of the change, `None` if none was proposed.
+    fn remove_stopping(&mut self, now_us: u64, id: ReplicaId) -> Option<Index> {
+        let mut next = self.raft.membership().clone();
+        if !membership::is_removed_at_stop(&next, id) {
+            return None;
+        }
+        next.members.shift_remove(&id);
+        self.change_membership(now_us, next, "replica-removed-at-stop", id)
+    }
+
     /// As leader, makes the next change of the membership, if there is one.
     fn maintain_membership(&mut self) {
         if !self.raft.is_leader_with_current_term_commit() {
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -215,6 +215,7 @@
     let serving = tokio::spawn(serving);
     daemon::stop_requested().await?;
     info!(context.log, "stop-requested");
+    formation::leave(&context).await;
     // Ends the long-lived streams first: the graceful shutdown waits for all calls in progress.
     let _ = stop_sender.send(true);
     let _ = shutdown_sender.send(());
--- a/crates/control/src/service/replica_service.rs
+++ b/crates/control/src/service/replica_service.rs
@@ -6,14 +6,16 @@
 use rpc::replica_client::ReplicaClient;
 use rpc::replica_server::Replica;
 use rpc::{
-    DeliverReply, IdentifyRequest, JoinReply, JoinRequest, LendQuotaReply, LendQuotaRequest,
-    ReplicaIdentity, ReplicaMember, ReplicaMessage, SyncDirectoryReply, SyncDirectoryRequest,
+    DeliverReply, IdentifyRequest, JoinReply, JoinRequest, LeaveReply, LeaveRequest,
+    LendQuotaReply, LendQuotaRequest, ReplicaIdentity, ReplicaMember, ReplicaMessage,
+    SyncDirectoryReply, SyncDirectoryRequest,
 };
 use slog::warn;
 use tokio::sync::oneshot;
 use tonic::{Request, Response, Status, Streaming};
 
 use super::ServiceContext;
+use crate::formation;
 use crate::quota_exchange;
 use crate::replica::Input;
 
@@ -115,6 +117,14 @@
         }
     }
 
+    async fn leave(&self, request: Request<LeaveRequest>) -> Result<Response<LeaveReply>, Status> {
+        let request = request.into_inner();
+        self.context.check_cluster(&request.cluster_id)?;
+        let id = ReplicaId(request.replica_id);
+        let is_removed = formation::request_removal(&self.context, id, request.is_forwarded).await;
+        Ok(Response::new(LeaveReply { is_removed }))
+    }
+
     async fn lend_quota(
         &self,
         request: Request<LendQuotaRequest>,
--- a/crates/control/tests/membership.rs
+++ b/crates/control/tests/membership.rs
@@ -1,7 +1,7 @@
 //! Choice of the next change of the membership.
 
 use consensus::{Member, Membership, ReplicaId};
-use control::membership::{MemberHealth, MembershipStep, next_step};
+use control::membership::{MemberHealth, MembershipStep, is_removed_at_stop, next_step};
 
 const MICROS_PER_MILLI: u64 = 1_000;
 
@@ -125,3 +125,25 @@
     check(&members, 1_500, None);
     check(&members, 1_501, promote(3));
 }
+
+macro_rules! stops {
+    ($($name:ident: $voters:literal => $expected:literal;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let addresses = ["1", "2", "3", "4", "5", "6", "7"];
+                let members: Vec<MemberState> =
+                    addresses[..$voters].iter().map(|address| (*address, 0, Voter)).collect();
+                assert_eq!(is_removed_at_stop(&membership(&members), ReplicaId(0)), $expected);
+            }
+        )*
+    };
+}
+
+stops! {
+    stopping_voter_of_two_is_kept: 2 => false;
+    stopping_voter_of_three_is_kept: 3 => false;
+    stopping_voter_of_four_is_removed: 4 => true;
+    stopping_voter_of_five_is_kept: 5 => false;
+    stopping_voter_of_six_is_removed: 6 => true;
+}
--- a/crates/control/tests/replacements.rs
+++ b/crates/control/tests/replacements.rs
@@ -6,7 +6,7 @@
 use consensus::{
     Entry, Envelope, Member, Membership, PersistentState, Raft, ReplicaId, Settings, Snapshot,
 };
-use control::membership::{MemberHealth, MembershipStep, next_step};
+use control::membership::{MemberHealth, MembershipStep, is_removed_at_stop, next_step};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -185,6 +185,19 @@
         }
     }
 
+    /// Stops a replica, which leaves the cluster if the others do not need its vote.
+    fn stop(&mut self, id: ReplicaId) {
+        if let Some(leader) = self.leader() {
+            let mut next = self.running[&leader].raft.membership().clone();
+            if is_removed_at_stop(&next, id) {
+                next.members.shift_remove(&id);
+                self.propose(leader, next);
+                self.run_for(100 * US_PER_MS);
+            }
+        }
+        self.running.remove(&id);
+    }
+
     /// Returns the membership in force: that in the longest log.
     fn membership(&self) -> &Membership {
         let rafts = self.running.values().map(|replica| &replica.raft);
@@ -217,7 +230,7 @@
         let mut ids: Vec<ReplicaId> = cluster.running.keys().copied().collect();
         let lost: Vec<ReplicaId> =
             (0..lost).map(|_| ids.swap_remove(rng.random_range(0..ids.len()))).collect();
-        let kind = rng.random_range(0..4);
+        let kind = rng.random_range(0..5);
         let pause_us = rng.random_range(200 * US_PER_MS..3_000 * US_PER_MS);
         match kind {
             // Gone for good, with successors at other addresses.
@@ -227,8 +240,14 @@
                 lost.iter().for_each(|_| cluster.start_empty(None));
                 cluster.run_for(CATCH_UP_US);
             }
-            // Lost disks.
+            // Replaced as planned: the successor first. The next loss may follow at once.
             2 => {
+                cluster.start_empty(None);
+                cluster.run_for(CATCH_UP_US);
+                cluster.stop(lost[0]);
+            }
+            // Lost disks.
+            3 => {
                 let addresses: Vec<String> = lost
                     .iter()
                     .filter_map(|id| cluster.running.remove(id))
--- a/crates/rpc/src/generated.rs
+++ b/crates/rpc/src/generated.rs
@@ -605,6 +605,21 @@
     pub is_admitted: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct LeaveRequest {
+    #[prost(string, tag = "1")]
+    pub cluster_id: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub replica_id: u64,
+    #[prost(bool, tag = "3")]
+    pub is_forwarded: bool,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct LeaveReply {
+    /// Whether the replica is no member any more.
+    #[prost(bool, tag = "1")]
+    pub is_removed: bool,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct SyncDirectoryRequest {
     #[prost(string, tag = "1")]
     pub cluster_id: ::prost::alloc::string::String,
@@ -2866,6 +2881,29 @@
                 .insert(GrpcMethod::new("heatherweir.v1.Replica", "Join"));
             self.inner.unary(req, path, codec).await
         }
+        /// Requests that the leader removes a replica that stops, if the others tolerate more losses
+        /// without it.
+        pub async fn leave(
+            &mut self,
+            request: impl tonic::IntoRequest<super::LeaveRequest>,
+        ) -> std::result::Result<tonic::Response<super::LeaveReply>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/heatherweir.v1.Replica/Leave",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("heatherweir.v1.Replica", "Leave"));
+            self.inner.unary(req, path, codec).await
+        }
         pub async fn sync_directory(
             &mut self,
             request: impl tonic::IntoRequest<super::SyncDirectoryRequest>,
@@ -2941,6 +2979,12 @@
             &self,
             request: tonic::Request<super::JoinRequest>,
         ) -> std::result::Result<tonic::Response<super::JoinReply>, tonic::Status>;
+        /// Requests that the leader removes a replica that stops, if the others tolerate more losses
+        /// without it.
+        async fn leave(
+            &self,
+            request: tonic::Request<super::LeaveRequest>,
+        ) -> std::result::Result<tonic::Response<super::LeaveReply>, tonic::Status>;
         async fn sync_directory(
             &self,
             request: tonic::Request<super::SyncDirectoryRequest>,
@@ -3164,6 +3208,49 @@
                     };
                     Box::pin(fut)
                 }
+                "/heatherweir.v1.Replica/Leave" => {
+                    #[allow(non_camel_case_types)]
+                    struct LeaveSvc<T: Replica>(pub Arc<T>);
+                    impl<T: Replica> tonic::server::UnaryService<super::LeaveRequest>
+                    for LeaveSvc<T> {
+                        type Response = super::LeaveReply;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::LeaveRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Replica>::leave(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = LeaveSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 "/heatherweir.v1.Replica/SyncDirectory" => {
                     #[allow(non_camel_case_types)]
                     struct SyncDirectorySvc<T: Replica>(pub Arc<T>);
