Commit notices of upstreams that leave before they are acknowledged

The node answered 50 ms after it had told its replica, whether or not anyone had it.

Change: a departure (VM, process id, latest start) is a command of the replicated log. The node closes its gate at once, reports the departure to its replica, which commits it through the leader, and acknowledges once an update lists it as committed; after 0.8 s without that it answers 503 and the instance asks again. A node remembers departures of processes that it does not know, and a process that started after the leave under the same id serves. Every node gets the departures of its VM with its first update, before its endpoint is restored. A replica of an older version commits none; its nodes acknowledge after 50 ms as before.

Related paths: reports with state draining take the same way. The notice in answers (Server-Leaving) is not committed: a restart of the machine ends what it binds to.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -8,6 +8,8 @@
 mod configuration_packing;
 mod configuration_store;
 pub mod configurations;
+mod departure_recorder;
+pub mod departures;
 pub mod directory;
 mod distribution;
 mod formation;
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -101,6 +101,7 @@
     view: Arc<ArcSwap<View>>,
     profile_revision: watch::Receiver<u64>,
     configuration_version: watch::Receiver<u64>,
+    departure_revision: watch::Receiver<u64>,
     is_current: watch::Receiver<bool>,
 }
 
@@ -119,6 +120,11 @@
         self.configuration_version.clone()
     }
 
+    /// Returns a receiver that is notified of new departures.
+    pub(crate) fn departure_revision(&self) -> watch::Receiver<u64> {
+        self.departure_revision.clone()
+    }
+
     /// Returns a receiver that is notified when the state of the replica becomes stale or current.
     /// A control thread that waits for its disk does not notify.
     pub(crate) fn is_current(&self) -> watch::Receiver<bool> {
@@ -161,6 +167,8 @@
     let (profile_revision_sender, profile_revision) = watch::channel(state.profiles().revision());
     let (configuration_version_sender, configuration_version) =
         watch::channel(state.configurations().version());
+    let (departure_revision_sender, departure_revision) =
+        watch::channel(state.departures().revision());
     let (is_current_sender, is_current) = watch::channel(false);
     let view = Arc::new(ArcSwap::from_pointee(build_view(&raft, &state, clock.now_us())));
     let replica = Replica {
@@ -175,12 +183,19 @@
         view: Arc::clone(&view),
         profile_revision_sender,
         configuration_version_sender,
+        departure_revision_sender,
         is_current_sender,
     };
     let thread = thread::Builder::new().name("control".to_owned());
     let thread = thread.spawn(move || replica.run(&receiver))?;
-    let handle =
-        ReplicaHandle { inputs, view, profile_revision, configuration_version, is_current };
+    let handle = ReplicaHandle {
+        inputs,
+        view,
+        profile_revision,
+        configuration_version,
+        departure_revision,
+        is_current,
+    };
     Ok((handle, thread))
 }
 
@@ -233,6 +248,7 @@
     view: Arc<ArcSwap<View>>,
     profile_revision_sender: watch::Sender<u64>,
     configuration_version_sender: watch::Sender<u64>,
+    departure_revision_sender: watch::Sender<u64>,
     is_current_sender: watch::Sender<bool>,
 }
 
@@ -501,8 +517,8 @@
         Ok(())
     }
 
-    /// Publishes a new view, and notifies the receivers of a new profile revision or configuration
-    /// version.
+    /// Publishes a new view, and notifies the receivers of new profiles, departures or a new
+    /// configuration version.
     fn publish_view(&mut self) {
         let now_us = self.clock.now_us();
         self.view.store(Arc::new(build_view(&self.raft, &self.state, now_us)));
@@ -511,6 +527,7 @@
             &self.configuration_version_sender,
             self.state.configurations().version(),
         );
+        notify_if_changed(&self.departure_revision_sender, self.state.departures().revision());
         self.notify_staleness(now_us);
     }
 
@@ -553,6 +570,7 @@
         content_us: now_us.saturating_sub(raft.content_age_us(now_us)),
         profiles: Arc::clone(state.profiles()),
         configurations: Arc::clone(state.configurations()),
+        departures: Arc::clone(state.departures()),
         claim_count: state.claims().len(),
     }
 }
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -25,6 +25,7 @@
 
 use crate::configuration_packing::PackedConfigurations;
 use crate::configuration_store::ConfigurationStore;
+use crate::departure_recorder::DepartureRecorder;
 use crate::directory::Directory;
 use crate::distribution::{DocumentRewriter, distribute_unchanged};
 use crate::freshness_proofs::{self, StampRegistry};
@@ -52,6 +53,7 @@
     pub(crate) channels: Arc<Channels>,
     pub(crate) stamps: StampRegistry,
     pub(crate) quotas: Arc<QuotaExchange>,
+    pub(crate) departures: Arc<DepartureRecorder>,
     pub(crate) rewrite_document: DocumentRewriter,
     pub(crate) packed_configurations: PackedConfigurations,
 }
@@ -77,6 +79,7 @@
             rewrite_document: distribute_unchanged,
             stamps: StampRegistry::new(),
             quotas: Arc::default(),
+            departures: Arc::default(),
             packed_configurations: PackedConfigurations::default(),
         }
     }
--- a/crates/control/src/service/directory_service.rs
+++ b/crates/control/src/service/directory_service.rs
@@ -4,7 +4,10 @@
 
 use indexmap::IndexSet;
 use rpc::directory_server::Directory;
-use rpc::{ControlUpdate, NodeReport, PackedConfiguration, ProfileRecord, ProfileSet, QuotaGrants};
+use rpc::{
+    ControlUpdate, DepartedUpstream, NodeReport, PackedConfiguration, ProfileRecord, ProfileSet,
+    QuotaGrants,
+};
 use slog::{info, o};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -12,6 +15,7 @@
 use tonic::{Request, Response, Status, Streaming};
 
 use super::ServiceContext;
+use crate::departure_recorder::record_departures;
 use crate::directory::{EndpointDifference, Origin, SentEndpoints};
 use crate::profiles::ProfileTable;
 use crate::quota_exchange::{MAX_QUEUED_GRANTS, QuotaSubscriber};
@@ -66,6 +70,7 @@
             services: first.called_services.iter().cloned().collect(),
             sent_profile_revision: first.profile_revision,
             sent_configuration_version: first.configuration_version,
+            sent_departures: Vec::new(),
             is_first_update: true,
             grants: mpsc::channel(MAX_QUEUED_GRANTS).0,
             report: first,
@@ -90,6 +95,8 @@
     sent_endpoints: SentEndpoints,
     sent_profile_revision: u64,
     sent_configuration_version: u64,
+    /// Departures of the node's VM that were sent last.
+    sent_departures: Vec<DepartedUpstream>,
     /// Whether no update with contents was sent yet; the first one is complete.
     is_first_update: bool,
     /// Queue of the grants for the node.
@@ -106,6 +113,7 @@
         let mut directory_revision = self.context.directory_revision.subscribe();
         let mut profile_revision = self.context.replica.profile_revision();
         let mut configurations = self.context.packed_configurations.subscribe();
+        let mut departure_revision = self.context.replica.departure_revision();
         let mut is_current = self.context.replica.is_current();
         let mut stop = self.context.stop.clone();
         let mut content_age_ticks = tokio::time::interval(CONTENT_AGE_INTERVAL);
@@ -149,6 +157,7 @@
                 () = sleep_until(endpoints_due) => true,
                 _ = profile_revision.changed() => true,
                 _ = configurations.changed() => true,
+                _ = departure_revision.changed() => true,
                 _ = is_current.changed() => {
                     self.send(&updates, ControlUpdate::default()).await?;
                     false
@@ -179,6 +188,7 @@
         }
         drop(directory);
         self.context.notify_directory_change();
+        record_departures(&self.context, report);
         if !report.quota_demands.is_empty() {
             let subscriber =
                 QuotaSubscriber { incarnation: report.incarnation, grants: self.grants.clone() };
@@ -198,7 +208,9 @@
         let configuration = self.new_configuration();
         let has_endpoint_changes =
             !endpoints.endpoints.is_empty() || !endpoints.removed_vms.is_empty();
-        let has_document_changes = profiles.is_some() || configuration.is_some();
+        let departed = self.new_departures();
+        let has_document_changes =
+            profiles.is_some() || configuration.is_some() || !departed.is_empty();
         if !is_full && !has_endpoint_changes && !has_document_changes {
             return Ok(());
         }
@@ -208,6 +220,7 @@
             endpoints: endpoints.endpoints,
             removed_vms: endpoints.removed_vms,
             is_full,
+            departed,
             ..ControlUpdate::default()
         };
         self.is_first_update = false;
@@ -256,6 +269,16 @@
         Some(packed)
     }
 
+    /// Returns the departures of the node's VM if they have changed since they were sent.
+    fn new_departures(&mut self) -> Vec<DepartedUpstream> {
+        let departed = self.context.replica.view().departures.of_vm(&self.report.vm);
+        if departed == self.sent_departures {
+            return Vec::new();
+        }
+        self.sent_departures.clone_from(&departed);
+        departed
+    }
+
     /// Sends an update with the state of the replica.
     async fn send(
         &self,
@@ -284,6 +307,7 @@
         content_age_ms: age_us / 1_000,
         replica_configuration_version: view.configurations.version(),
         replica_addresses: members.map(|member| member.address.clone()).collect(),
+        records_departures: true,
         ..update
     }
 }
--- a/crates/control/src/service/replica_service.rs
+++ b/crates/control/src/service/replica_service.rs
@@ -7,14 +7,16 @@
 use rpc::replica_server::Replica;
 use rpc::{
     DeliverReply, IdentifyRequest, JoinReply, JoinRequest, LeaveReply, LeaveRequest,
-    LendQuotaReply, LendQuotaRequest, ReplicaIdentity, ReplicaMember, ReplicaMessage,
-    SyncDirectoryReply, SyncDirectoryRequest,
+    LendQuotaReply, LendQuotaRequest, RecordDepartureReply, RecordDepartureRequest,
+    ReplicaIdentity, ReplicaMember, ReplicaMessage, SyncDirectoryReply, SyncDirectoryRequest,
 };
 use slog::warn;
 use tokio::sync::oneshot;
 use tonic::{Request, Response, Status, Streaming};
 
 use super::ServiceContext;
+use crate::departure_recorder;
+use crate::departures::Departure;
 use crate::formation;
 use crate::quota_exchange;
 use crate::replica::Input;
@@ -137,6 +139,20 @@
         Ok(Response::new(reply))
     }
 
+    async fn record_departure(
+        &self,
+        request: Request<RecordDepartureRequest>,
+    ) -> Result<Response<RecordDepartureReply>, Status> {
+        let request = request.into_inner();
+        self.context.check_cluster(&request.cluster_id)?;
+        let Some(departed) = request.departed else {
+            return Err(Status::invalid_argument("the request names no process"));
+        };
+        let departure = Departure::new(request.vm, departed);
+        let is_committed = departure_recorder::commit_as_leader(&self.context, departure).await;
+        Ok(Response::new(RecordDepartureReply { is_committed }))
+    }
+
     async fn sync_directory(
         &self,
         request: Request<SyncDirectoryRequest>,
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -8,10 +8,13 @@
 
 use crate::claims::{Claim, ClaimKey, ClaimResult, ClaimTable, Settle};
 use crate::configurations::{ConfigurationChange, ConfigurationResult, ConfigurationTable};
+use crate::departures::{Departure, DepartureTable};
 use crate::profiles::{Change, ChangeResult, ProfileTable};
 
 /// Version of the snapshot format.
-const FORMAT_VERSION: u32 = 3;
+const FORMAT_VERSION: u32 = 4;
+/// Version of the snapshot format without departures.
+const FORMAT_WITHOUT_DEPARTURES: u32 = 3;
 /// Version of the snapshot format without quota ceilings.
 const FORMAT_WITHOUT_CEILINGS: u32 = 2;
 
@@ -52,6 +55,8 @@
     /// Sets the ceilings of client accounts; zero removes one. Its commit also proves that the leader
     /// is current.
     LimitQuota(QuotaCeilings),
+    /// Records that processes of an upstream never return to serving.
+    Depart(Departure),
 }
 
 impl Command {
@@ -80,15 +85,18 @@
     Barrier(Arc<ConfigurationTable>),
     /// Ceilings of quotas after the change.
     LimitQuota(Arc<QuotaCeilings>),
+    /// The departure is recorded, now or by an earlier command.
+    Depart,
 }
 
-/// Replicated state: profiles, claims and the configuration.
+/// Replicated state: profiles, claims, the configuration and departures.
 #[derive(Debug, Default)]
 pub struct State {
     profiles: Arc<ProfileTable>,
     claims: ClaimTable,
     configurations: Arc<ConfigurationTable>,
     quota_ceilings: Arc<QuotaCeilings>,
+    departures: Arc<DepartureTable>,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -97,7 +105,7 @@
     profiles: Arc<ProfileTable>,
     claims: ClaimTable,
     configurations: Arc<ConfigurationTable>,
-    // The quota ceilings follow in snapshots of the current version.
+    // The quota ceilings follow from version 3 on, and the departures in the current version.
 }
 
 impl State {
@@ -111,9 +119,10 @@
             return Ok(Self::default());
         }
         let (stored, rest): (StoredState, _) = postcard::take_from_bytes(data)?;
-        let quota_ceilings = match stored.version {
+        let (quota_ceilings, departures) = match stored.version {
             FORMAT_VERSION => postcard::from_bytes(rest)?,
-            FORMAT_WITHOUT_CEILINGS => QuotaCeilings::new(),
+            FORMAT_WITHOUT_DEPARTURES => (postcard::from_bytes(rest)?, DepartureTable::default()),
+            FORMAT_WITHOUT_CEILINGS => (QuotaCeilings::new(), DepartureTable::default()),
             version => return Err(StateError::Version(version)),
         };
         Ok(Self {
@@ -121,6 +130,7 @@
             claims: stored.claims,
             configurations: stored.configurations,
             quota_ceilings: Arc::new(quota_ceilings),
+            departures: Arc::new(departures),
         })
     }
 
@@ -137,7 +147,7 @@
             configurations: Arc::clone(&self.configurations),
         };
         let mut data = postcard::to_stdvec(&stored)?;
-        data.extend(postcard::to_stdvec(&*self.quota_ceilings)?);
+        data.extend(postcard::to_stdvec(&(&*self.quota_ceilings, &*self.departures))?);
         Ok(data)
     }
 
@@ -163,6 +173,10 @@
                 ceilings.retain(|_, ceiling| *ceiling > 0);
                 Applied::LimitQuota(Arc::clone(&self.quota_ceilings))
             }
+            Command::Depart(departure) => {
+                Arc::make_mut(&mut self.departures).record(departure);
+                Applied::Depart
+            }
         };
         Ok(applied)
     }
@@ -215,6 +229,11 @@
         &self.configurations
     }
 
+    /// Returns the departures of upstream processes.
+    pub fn departures(&self) -> &Arc<DepartureTable> {
+        &self.departures
+    }
+
     /// Returns the table of claims.
     pub fn claims(&self) -> &ClaimTable {
         &self.claims
--- a/crates/control/src/view.rs
+++ b/crates/control/src/view.rs
@@ -5,6 +5,7 @@
 use consensus::{Index, Membership, ReplicaId, Role, Term};
 
 use crate::configurations::ConfigurationTable;
+use crate::departures::DepartureTable;
 use crate::profiles::ProfileTable;
 
 /// Immutable copy of the replica's state at one point in time.
@@ -37,6 +38,8 @@
     pub profiles: Arc<ProfileTable>,
     /// Current configuration of routes and the digests of the accepted changes.
     pub configurations: Arc<ConfigurationTable>,
+    /// Departures of upstream processes.
+    pub departures: Arc<DepartureTable>,
     /// Number of stored claims.
     pub claim_count: usize,
 }
--- a/crates/mesh/src/attachment.rs
+++ b/crates/mesh/src/attachment.rs
@@ -156,6 +156,9 @@
         if !discovered.is_empty() {
             self.discovered_controls = discovered;
         }
+        let ingress = &self.parts.ingress;
+        ingress.upstream_state.departures.set_recorded(update.records_departures);
+        ingress.record_committed_departures(&update.departed);
         let local_vm = self.parts.settings.vm.name.as_str();
         let now_us = self.parts.clock.now_us();
         self.parts.endpoints.remove_expired(now_us);
@@ -240,6 +243,7 @@
             wants_freshness_proof: stamp_us.is_some(),
             incarnation: self.incarnation,
             quota_demands,
+            departing: self.parts.ingress.upstream_state.departures.uncommitted(),
         }
     }
 }
--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -16,6 +16,7 @@
 use policy::shared_failures::RunCounts;
 use policy::slots::{CallPriority, RefusalCause, SlotRequest};
 use policy::vm_rates::VmRates;
+use rpc::DepartedUpstream;
 use slog::{Logger, info, warn};
 
 use crate::body::{self, AnswerBody, CallBody, StreamGuard};
@@ -27,7 +28,8 @@
 use crate::forwarded_headers::forwarded_headers;
 use crate::metrics::Metrics;
 use crate::protocol_adapter::{
-    Announcement, AnswerClassification, DispatchMetadata, ProtocolAdapter, UpstreamReport,
+    Announcement, AnswerClassification, DispatchMetadata, InstanceId, ProtocolAdapter,
+    UpstreamReport,
 };
 use crate::request_key::{RequestKey, digest_text};
 use crate::request_log::RequestLog;
@@ -251,11 +253,16 @@
         self.refuse_queued_if_not_serving();
     }
 
-    /// Records that the upstream reported that it is leaving.
-    pub(crate) fn record_leave(&self, instance_id: &str) {
-        let is_known = self.upstream_state.record_leave(instance_id);
-        info!(self.log, "upstream-leaves"; "instance" => instance_id.to_owned(),
-            "is_known" => is_known);
+    /// Records that the processes of the upstream with an id that started up to a time leave.
+    pub(crate) fn record_leave(&self, id: &InstanceId, last_started_unix_ms: u64) {
+        let is_known = self.upstream_state.record_leave(id, last_started_unix_ms);
+        info!(self.log, "upstream-leaves"; "instance" => &**id, "is_known" => is_known);
+        self.refuse_queued_if_not_serving();
+    }
+
+    /// Records departures of processes of the upstream that control has committed.
+    pub(crate) fn record_committed_departures(&self, departed: &[DepartedUpstream]) {
+        self.upstream_state.record_committed_departures(departed);
         self.refuse_queued_if_not_serving();
     }
 
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -22,6 +22,7 @@
 mod connection;
 mod connection_pool;
 mod crash_monitor;
+mod departures;
 mod dispatch;
 mod endpoints;
 mod expected_upstream;
--- a/crates/mesh/src/protocol_adapter.rs
+++ b/crates/mesh/src/protocol_adapter.rs
@@ -153,7 +153,12 @@
     /// The upstream reports its status.
     Report(UpstreamReport),
     /// The upstream process with this id is shutting down.
-    Leave(InstanceId),
+    Leave {
+        /// Id of the process.
+        instance_id: InstanceId,
+        /// Start time of the process in Unix milliseconds, if reported.
+        started_unix_ms: Option<u64>,
+    },
 }
 
 /// Translates between the mesh and the names and formats of a deployment. Implementations hold no
--- a/crates/mesh/src/upstream.rs
+++ b/crates/mesh/src/upstream.rs
@@ -9,8 +9,10 @@
 use model::ServiceName;
 use policy::US_PER_S;
 use policy::request_digest::RequestDigest;
+use rpc::DepartedUpstream;
 use tokio::sync::watch;
 
+use crate::departures::Departures;
 use crate::protocol_adapter::{InstanceId, UpstreamPhase, UpstreamReport};
 
 /// Time within which an older report may arrive after a newer one, in microseconds. Later, a report
@@ -118,11 +120,16 @@
 pub(crate) struct UpstreamState {
     known: Mutex<Option<KnownProcess>>,
     changes: watch::Sender<u64>,
+    pub(crate) departures: Departures,
 }
 
 impl UpstreamState {
     pub(crate) fn new() -> Self {
-        Self { known: Mutex::default(), changes: watch::channel(0).0 }
+        Self {
+            known: Mutex::default(),
+            changes: watch::channel(0).0,
+            departures: Departures::new(),
+        }
     }
 
     /// Returns a receiver that is notified of each change.
@@ -188,8 +195,13 @@
         Some(UpstreamReport { phase, ..known.report.clone() })
     }
 
-    /// Applies a report. A process that drains or has left never returns to serving.
+    /// Applies a report. A process that drains or has left never returns to serving, also if this
+    /// node did not know it when it said so.
     pub(crate) fn record_report(&self, now_us: u64, report: UpstreamReport) -> ReportEffect {
+        if report.phase == UpstreamPhase::Draining {
+            let last_started_unix_ms = report.started_unix_ms.unwrap_or(0);
+            self.departures.record(&report.instance_id, last_started_unix_ms);
+        }
         let mut known = self.lock();
         if let Some(process) = known.as_mut().filter(|known| known.supersedes(now_us, &report)) {
             // A process that drains never returns to serving, so this holds in any order.
@@ -204,6 +216,7 @@
             return ReportEffect::Changed;
         }
         let reported = match report.phase {
+            UpstreamPhase::Serving if self.departures.contains(&report) => Phase::Left,
             UpstreamPhase::Serving => Phase::Serving,
             UpstreamPhase::Draining => Phase::Draining,
         };
@@ -296,9 +309,31 @@
         self.lock().as_ref().and_then(|known| known.limit_per_s)
     }
 
-    /// Records that a process leaves. Returns whether it is the known process.
-    pub(crate) fn record_leave(&self, instance_id: &str) -> bool {
-        self.set_phase(instance_id, |_| Some(Phase::Left))
+    /// Records that the processes with an id that started up to a time leave. Returns whether the
+    /// known process is one of them.
+    pub(crate) fn record_leave(&self, id: &InstanceId, last_started_unix_ms: u64) -> bool {
+        self.departures.record(id, last_started_unix_ms);
+        let is_known = self.end_departed();
+        // Control has to learn of it also if the process is not known.
+        self.notify_changed();
+        is_known
+    }
+
+    /// Records departures that control has committed.
+    pub(crate) fn record_committed_departures(&self, departed: &[DepartedUpstream]) {
+        self.departures.record_committed(departed);
+        if !departed.is_empty() && self.end_departed() {
+            self.notify_changed();
+        }
+    }
+
+    /// Marks the known process as left if it is departed. Returns whether it is.
+    fn end_departed(&self) -> bool {
+        let mut known = self.lock();
+        let departed = known.as_mut().filter(|known| self.departures.contains(&known.report));
+        let Some(process) = departed else { return false };
+        process.phase = Phase::Left;
+        true
     }
 
     /// Records that a process has announced with an answer that it is about to stop. Returns whether
--- a/crates/mesh/src/upstream/tests.rs
+++ b/crates/mesh/src/upstream/tests.rs
@@ -66,3 +66,40 @@
     state.record_report(3 * S, report("i-1", 1_000, 6));
     assert_eq!(state.serving(), None, "a process that drains never returns to serving");
 }
+
+/// Guards against a leave that is dropped because the node does not know the process.
+#[test]
+fn process_that_left_before_the_node_knew_it_gets_no_calls() {
+    let state = UpstreamState::new();
+    assert!(!state.record_leave(&"i-1".into(), 1_500));
+    state.record_report(S, report("i-1", 1_000, 5));
+    assert_eq!(state.serving(), None);
+    assert_eq!(state.departures.uncommitted().len(), 1);
+}
+
+#[test]
+fn process_that_starts_after_the_leave_of_its_id_gets_calls() {
+    let state = UpstreamState::new();
+    state.record_leave(&"i-1".into(), 1_500);
+    state.record_report(S, report("i-1", 1_501, 0));
+    assert!(state.serving().is_some());
+}
+
+#[test]
+fn late_leave_of_an_earlier_process_leaves_the_later_one_serving() {
+    let state = UpstreamState::new();
+    state.record_report(S, report("i-1", 2_000, 5));
+    assert!(!state.record_leave(&"i-1".into(), 1_000));
+    assert!(state.serving().is_some());
+}
+
+#[test]
+fn departure_of_an_earlier_node_process_ends_calls() {
+    let state = UpstreamState::new();
+    state.record_report(S, report("i-1", 1_000, 5));
+    let departed =
+        rpc::DepartedUpstream { instance_id: "i-1".to_owned(), last_started_unix_ms: 1_000 };
+    state.record_committed_departures(&[departed]);
+    assert_eq!(state.serving(), None);
+    assert!(state.departures.uncommitted().is_empty());
+}
--- a/crates/mesh/src/upstream_listener.rs
+++ b/crates/mesh/src/upstream_listener.rs
@@ -18,17 +18,19 @@
 use crate::ingress::Ingress;
 use crate::metrics::Metrics;
 use crate::protocol_adapter::{
-    DocumentError, ProtocolAdapter, UpstreamNotification, UpstreamPhase, UpstreamReport,
+    DocumentError, InstanceId, ProtocolAdapter, UpstreamNotification, UpstreamPhase, UpstreamReport,
 };
 use crate::quarantine_peers::QuarantinePeers;
 use crate::refusal_log::RefusalLog;
 use crate::request_key::digest_text;
 use crate::suspects::Suspects;
 
-/// Delay before a shutdown notification of the upstream is acknowledged. Several times the latency
-/// of a message to control, so that control has received the change if this node fails right after
-/// the acknowledgement.
-const LEAVE_ACK_DELAY: Duration = Duration::from_millis(50);
+/// Maximum time that a shutdown notification of the upstream waits until control has committed it.
+/// The sender waits for a second.
+const LEAVE_COMMIT_TIMEOUT: Duration = Duration::from_millis(800);
+/// Delay before it is acknowledged if the attached replica is of a version that commits none. Several
+/// times the latency of a message to control.
+const UNCOMMITTED_LEAVE_DELAY: Duration = Duration::from_millis(50);
 /// Maximum size of an upstream notification, in bytes. Usual ones have a few hundred bytes.
 const MAX_NOTIFICATION_BYTES: usize = 16 * 1024;
 /// Maximum time to receive an upstream notification. The sender waits for a second.
@@ -79,6 +81,34 @@
     }
 }
 
+impl<D: ProtocolAdapter> UpstreamHandler<D> {
+    /// Returns the latest start of the processes that a notice to leave is about. Without a start
+    /// time in the notice, that is the start of the known process, or the present if another one is
+    /// known.
+    fn last_start_of_leaver(&self, id: &InstanceId, started_unix_ms: Option<u64>) -> u64 {
+        let known = self.ingress.upstream_state.last_report();
+        let known = known.filter(|report| report.instance_id == *id);
+        match (started_unix_ms, known) {
+            (Some(started_unix_ms), _) => started_unix_ms,
+            (None, Some(report)) => report.started_unix_ms.unwrap_or(0),
+            (None, None) => Clock::unix_us() / US_PER_MS,
+        }
+    }
+
+    /// Waits until the departure of a process is committed, so that it outlasts this node and the
+    /// replica that it is attached to. Returns whether it may be acknowledged.
+    async fn is_departure_committed(&self, id: &InstanceId) -> bool {
+        let departures = &self.ingress.upstream_state.departures;
+        let wait =
+            departures.wait_until_committed(id, LEAVE_COMMIT_TIMEOUT, UNCOMMITTED_LEAVE_DELAY);
+        let is_committed = wait.await;
+        if !is_committed {
+            warn!(self.log, "departure-uncommitted"; "instance" => &**id);
+        }
+        is_committed
+    }
+}
+
 impl<D: ProtocolAdapter> Handler for UpstreamHandler<D> {
     async fn handle(
         &self,
@@ -108,14 +138,18 @@
                     return empty_response(StatusCode::BAD_REQUEST);
                 }
                 let is_draining = report.phase == UpstreamPhase::Draining;
+                let instance_id = report.instance_id.clone();
                 self.ingress.record_report(report);
-                if is_draining {
-                    tokio::time::sleep(LEAVE_ACK_DELAY).await;
+                if is_draining && !self.is_departure_committed(&instance_id).await {
+                    return empty_response(StatusCode::SERVICE_UNAVAILABLE);
                 }
             }
-            Ok(UpstreamNotification::Leave(instance_id)) => {
-                self.ingress.record_leave(&instance_id);
-                tokio::time::sleep(LEAVE_ACK_DELAY).await;
+            Ok(UpstreamNotification::Leave { instance_id, started_unix_ms }) => {
+                let last_started_unix_ms = self.last_start_of_leaver(&instance_id, started_unix_ms);
+                self.ingress.record_leave(&instance_id, last_started_unix_ms);
+                if !self.is_departure_committed(&instance_id).await {
+                    return empty_response(StatusCode::SERVICE_UNAVAILABLE);
+                }
             }
             Err(error) => {
                 self.refuse_unreadable(remote, parts.uri.path(), Some(&error));
--- a/crates/rpc/src/generated.rs
+++ b/crates/rpc/src/generated.rs
@@ -220,6 +220,19 @@
     /// Accounts with a quota for which requests arrived at the node or which it still holds a share of.
     #[prost(message, repeated, tag = "13")]
     pub quota_demands: ::prost::alloc::vec::Vec<QuotaDemand>,
+    /// Processes of the upstream that have said that they stop, as far as the node does not know that
+    /// their departure is committed.
+    #[prost(message, repeated, tag = "14")]
+    pub departing: ::prost::alloc::vec::Vec<DepartedUpstream>,
+}
+/// Processes of the upstream on a VM that never return to serving.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct DepartedUpstream {
+    #[prost(string, tag = "1")]
+    pub instance_id: ::prost::alloc::string::String,
+    /// Latest start of the processes with this id, in Unix milliseconds; zero if they report none.
+    #[prost(uint64, tag = "2")]
+    pub last_started_unix_ms: u64,
 }
 /// Need of one node for a share of the quota of a client account.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -309,6 +322,12 @@
     /// Present if the leader answered a demand of the node.
     #[prost(message, optional, tag = "11")]
     pub quota_grants: ::core::option::Option<QuotaGrants>,
+    /// All committed departures of the node's VM, or none if they have not changed.
+    #[prost(message, repeated, tag = "12")]
+    pub departed: ::prost::alloc::vec::Vec<DepartedUpstream>,
+    /// Whether the replica commits departures. Replicas of older versions do not.
+    #[prost(bool, tag = "13")]
+    pub records_departures: bool,
 }
 /// The newest accepted configuration.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -512,6 +531,20 @@
     #[prost(message, repeated, tag = "1")]
     pub replicas: ::prost::alloc::vec::Vec<ReplicaStatus>,
 }
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RecordDepartureRequest {
+    #[prost(string, tag = "1")]
+    pub cluster_id: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub vm: ::prost::alloc::string::String,
+    #[prost(message, optional, tag = "3")]
+    pub departed: ::core::option::Option<DepartedUpstream>,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RecordDepartureReply {
+    #[prost(bool, tag = "1")]
+    pub is_committed: bool,
+}
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct LendQuotaRequest {
     #[prost(string, tag = "1")]
@@ -2950,6 +2983,31 @@
                 .insert(GrpcMethod::new("heatherweir.v1.Replica", "LendQuota"));
             self.inner.unary(req, path, codec).await
         }
+        /// Asks the leader to commit that processes of an upstream have said that they stop.
+        pub async fn record_departure(
+            &mut self,
+            request: impl tonic::IntoRequest<super::RecordDepartureRequest>,
+        ) -> std::result::Result<
+            tonic::Response<super::RecordDepartureReply>,
+            tonic::Status,
+        > {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/heatherweir.v1.Replica/RecordDeparture",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("heatherweir.v1.Replica", "RecordDeparture"));
+            self.inner.unary(req, path, codec).await
+        }
     }
 }
 /// Generated server implementations.
@@ -2997,6 +3055,14 @@
             &self,
             request: tonic::Request<super::LendQuotaRequest>,
         ) -> std::result::Result<tonic::Response<super::LendQuotaReply>, tonic::Status>;
+        /// Asks the leader to commit that processes of an upstream have said that they stop.
+        async fn record_departure(
+            &self,
+            request: tonic::Request<super::RecordDepartureRequest>,
+        ) -> std::result::Result<
+            tonic::Response<super::RecordDepartureReply>,
+            tonic::Status,
+        >;
     }
     /// Traffic between control replicas.
     #[derive(Debug)]
@@ -3339,6 +3405,51 @@
                     };
                     Box::pin(fut)
                 }
+                "/heatherweir.v1.Replica/RecordDeparture" => {
+                    #[allow(non_camel_case_types)]
+                    struct RecordDepartureSvc<T: Replica>(pub Arc<T>);
+                    impl<
+                        T: Replica,
+                    > tonic::server::UnaryService<super::RecordDepartureRequest>
+                    for RecordDepartureSvc<T> {
+                        type Response = super::RecordDepartureReply;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::RecordDepartureRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Replica>::record_departure(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = RecordDepartureSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 _ => {
                     Box::pin(async move {
                         let mut response = http::Response::new(
