Close connections whose refusals could be taken for those of later calls

It can happen here, on both request paths: a refusal that names no request was believed for whichever call was on the connection (mesh: no Request-Id; node: no heatherweir-call-id), and on the mesh one that names an earlier attempt with the same id.

Change: a connection on which a refusal names no call is closed. The pool of the mesh remembers the ids of refused calls for each connection and sends no call with such an id over it.

--- a/crates/mesh/src/connection_pool.rs
+++ b/crates/mesh/src/connection_pool.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use daemon::Clock;
-use http::{HeaderMap, Request, Response};
+use http::{HeaderMap, HeaderValue, Request, Response};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -42,6 +42,8 @@
 const MAX_IDLE_AT_MOST_ONCE_US: u64 = 300 * US_PER_MS;
 /// Maximum size of the head of an answer, in bytes, and of the buffer of a connection.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Maximum number of refusals on a connection, after which it is closed.
+const MAX_REFUSALS: usize = 64;
 /// Maximum number of idle connections per address.
 const MAX_IDLE_PER_ADDRESS: usize = 128;
 
@@ -72,6 +74,9 @@
     sender: SendRequest<CallBody>,
     limits: CallLimits,
     opened_us: u64,
+    /// Ids of the calls that were refused on the connection. A faulty upstream may send a refusal
+    /// once more, which would then seem to answer a later call with the same id.
+    refused_ids: Vec<HeaderValue>,
 }
 
 /// Result of a check of an address.
@@ -104,6 +109,15 @@
         self.connection.opened_us
     }
 
+    /// Returns the connection to the pool after a refusal that names the refused call. Must be called
+    /// only after the complete response was read.
+    pub(crate) fn return_to_pool_after_refusal(mut self, refused_id: HeaderValue) {
+        if self.connection.refused_ids.len() < MAX_REFUSALS {
+            self.connection.refused_ids.push(refused_id);
+            self.return_to_pool();
+        }
+    }
+
     /// Returns the connection to the pool. Must be called only after the complete response was
     /// read.
     pub(crate) fn return_to_pool(self) {
@@ -166,14 +180,19 @@
     }
 
     /// Sends a call and waits for the head of its response. Dropping the future cancels the call.
+    /// Uses no connection on which a call with the same id, if there is one, was refused.
     pub(crate) async fn send(
         &self,
         address: SocketAddr,
         request: Request<CallBody>,
         reuse: ReusePolicy,
+        id: Option<&HeaderValue>,
     ) -> Result<(Response<Incoming>, PooledConnection), SendError> {
         let mut request = request;
         while let Some(connection) = self.take_idle(address, reuse).await {
+            if id.is_some_and(|id| connection.refused_ids.contains(id)) {
+                continue;
+            }
             match self.send_over(address, connection, request).await {
                 Err(SendError::NotSent(unsent)) => request = *unsent,
                 result => return result,
@@ -242,7 +261,8 @@
             // The request sender reports a connection failure as well.
             let _ = connection.await;
         });
-        Ok(OpenConnection { sender, limits, opened_us: self.clock.now_us() })
+        let opened_us = self.clock.now_us();
+        Ok(OpenConnection { sender, limits, opened_us, refused_ids: Vec::new() })
     }
 
     fn lock(&self) -> MutexGuard<'_, IndexMap<SocketAddr, Vec<IdleConnection>>> {
--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -266,7 +266,7 @@
         self.refuse_queued_if_not_serving();
     }
 
-    /// Returns the request id in the headers of a request.
+    /// Returns the request id in the headers of a request or an answer.
     pub(crate) fn request_id(&self, headers: &HeaderMap) -> Option<HeaderValue> {
         self.adapter.read_request(headers).request_id
     }
@@ -448,7 +448,7 @@
             head.request_id.as_ref(),
             parent_request,
         );
-        let sent = self.pool.send(upstream.address, request, reuse).await;
+        let sent = self.pool.send(upstream.address, request, reuse, head.request_id.as_ref()).await;
         let (response, connection) = match sent {
             Ok(sent) => sent,
             Err(SendError::NotSent(_)) => {
@@ -494,12 +494,12 @@
                 run.finish_refused(connection.opened_us());
                 permit.finish_at_capacity();
                 self.metrics.shed_by_upstream.inc();
-                return_refused_connection(response, connection).await;
+                self.return_refused_connection(response, connection).await;
                 Err(CallFailure::not_run(Reason::ShedByUpstream).reached_upstream())
             }
             AnswerClassification::NotRun => {
                 run.finish_refused(connection.opened_us());
-                return_refused_connection(response, connection).await;
+                self.return_refused_connection(response, connection).await;
                 Err(CallFailure::not_run(Reason::ShedByUpstream).reached_upstream())
             }
             AnswerClassification::OtherProcess => {
@@ -516,6 +516,23 @@
         }
     }
 
+    /// Returns the connection of a refused call to the pool if the refusal names the call and its body
+    /// fits the buffer and arrives soon. Otherwise the connection is closed: a copy of a refusal
+    /// that names no call would seem to answer the next call, and the failure must not wait for a
+    /// body.
+    async fn return_refused_connection(
+        &self,
+        response: Response<Incoming>,
+        connection: PooledConnection,
+    ) {
+        let Some(refused_id) = self.request_id(response.headers()) else { return };
+        let mut incoming = response.into_body();
+        let read = body::read_buffered(&mut incoming);
+        if let Ok(Ok((_, true))) = tokio::time::timeout(REFUSAL_BODY_TIMEOUT, read).await {
+            connection.return_to_pool_after_refusal(refused_id);
+        }
+    }
+
     fn log_unreachable(&self, upstream: &ServingUpstream, detail: &'static str) {
         warn!(self.log, "upstream-unreachable"; "instance" => &*upstream.instance_id,
             "address" => %upstream.address, "detail" => detail);
@@ -566,13 +583,3 @@
     };
     Ok(Answer::new(parts.status, headers, body))
 }
-
-/// Returns the connection of a refused call to the pool if the body of the refusal fits the buffer and
-/// arrives soon. Otherwise the connection is closed, since the refusal must not wait for it.
-async fn return_refused_connection(response: Response<Incoming>, connection: PooledConnection) {
-    let mut incoming = response.into_body();
-    let read = body::read_buffered(&mut incoming);
-    if let Ok(Ok((_, true))) = tokio::time::timeout(REFUSAL_BODY_TIMEOUT, read).await {
-        connection.return_to_pool();
-    }
-}
--- a/crates/mesh/src/peer.rs
+++ b/crates/mesh/src/peer.rs
@@ -103,7 +103,8 @@
         return Forwarded::new(Err(CallFailure::not_run(Reason::BadRequest)), None);
     };
     // Nodes close connections only after a long idle time, so any idle connection is safe to reuse.
-    let (response, connection) = match pool.send(address, request, ReusePolicy::AnyIdle).await {
+    let (response, connection) = match pool.send(address, request, ReusePolicy::AnyIdle, None).await
+    {
         Ok(sent) => sent,
         Err(SendError::NotSent(_)) => {
             return Forwarded::new(Err(CallFailure::not_run(Reason::ConnectFailed)), None);
--- a/crates/mesh/src/quarantine_peers.rs
+++ b/crates/mesh/src/quarantine_peers.rs
@@ -260,7 +260,7 @@
     request.headers_mut().insert(header::HOST, HeaderValue::from_static("node"));
     request.headers_mut().insert(QUARANTINE, kind);
     let exchange = async {
-        let sent = pool.send(address, request, ReusePolicy::AnyIdle).await;
+        let sent = pool.send(address, request, ReusePolicy::AnyIdle, None).await;
         let (response, connection) = sent.ok()?;
         let status = response.status();
         let mut incoming = response.into_body();
--- a/crates/mesh/src/shared_failures.rs
+++ b/crates/mesh/src/shared_failures.rs
@@ -206,7 +206,7 @@
     request.headers_mut().insert(header::HOST, HeaderValue::from_static("node"));
     request.headers_mut().insert(FAILURE_EXCHANGE, encode_exchange(due.kind, due.exchange)?);
     let exchange = async {
-        let sent = pool.send(address, request, ReusePolicy::AnyIdle).await;
+        let sent = pool.send(address, request, ReusePolicy::AnyIdle, None).await;
         let (response, connection) = sent.ok()?;
         let (parts, mut incoming) = response.into_parts();
         let (_, is_complete) = body::read_buffered(&mut incoming).await.ok()?;
--- a/crates/node/src/upstream_client.rs
+++ b/crates/node/src/upstream_client.rs
@@ -11,7 +11,7 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::{HttpConnector, capture_connection};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
-use model::headers;
+use model::{Outcome, headers};
 use quick_error::quick_error;
 
 use crate::body::UpstreamRequestBody;
@@ -75,14 +75,22 @@
                 false => SendError::Broken,
             })?;
         // An upstream that does not copy the id cannot be checked.
-        let is_of_call = response.headers().get(headers::CALL_ID).is_none_or(|id| *id == call_id);
-        if is_of_call {
-            return Ok(response);
-        }
-        // All further answers on this connection would be one behind.
-        if let Some(connected) = connection.connection_metadata().as_ref() {
+        let copied_id = response.headers().get(headers::CALL_ID);
+        let is_of_call = copied_id.is_none_or(|id| *id == call_id);
+        // After an answer to another call, all further answers on this connection would be one behind.
+        // A copy of a refusal that names no call would seem to answer the next call.
+        let is_unnamed_refusal = copied_id.is_none() && is_refusal(&response);
+        if (!is_of_call || is_unnamed_refusal)
+            && let Some(connected) = connection.connection_metadata().as_ref()
+        {
             connected.poison();
         }
-        Err(SendError::Broken)
+        if is_of_call { Ok(response) } else { Err(SendError::Broken) }
     }
 }
+
+/// Returns whether an upstream says with a response that it did not run the call.
+fn is_refusal(response: &Response<Incoming>) -> bool {
+    let outcome = response.headers().get(headers::OUTCOME);
+    outcome.is_some_and(|outcome| outcome == Outcome::NotRun.as_str())
+}
