Take no requests of the mesh late in a planned stop that its end would cut off

It could happen here: - A connection that was busy when the listeners stopped read on: a request behind a response whose head had been sent before the stop was served up to the end of the grace time, since that response could not say that the connection closes. - Pipelined requests were started as they arrived, also seconds after the stop. - A request that lasts beyond the end got no answer at all.

Change: 100 ms after the listeners stop, a connection takes no further request: it closes after the response in progress; a request head that has begun to arrive at an idle connection is awaited for 400 ms. Deadlines of requests taken in the stop end 200 ms before the listeners, so that their instances answer. Requests that were not sent to an instance by half of the remaining time are refused as not run, so that their callers go elsewhere.

The node of crates/node needs no change: it shuts its connections down through hyper, reads nothing ahead, and waits for requests in progress without a bound.

--- a/crates/mesh/src/caller_listener.rs
+++ b/crates/mesh/src/caller_listener.rs
@@ -142,6 +142,7 @@
         let priority = origin.priority(route);
         let caller = ingress.upstream_state.service();
         let caller = caller.unwrap_or_else(|| self.expected_upstream.identity().service);
+        let deadline_us = started_us + remaining_time(metadata, route).as_micros() as u64;
         CallHead {
             service,
             caller: Arc::from(caller.as_str()),
@@ -155,7 +156,7 @@
             kind: call::route_kind(route),
             idempotence: route.idempotence,
             is_repeat,
-            deadline_us: started_us + remaining_time(metadata, route).as_micros() as u64,
+            deadline_us: deadline_us.min(ingress.latest_deadline_us()),
             max_wait_us: max_wait_us(priority, route),
         }
     }
--- a/crates/mesh/src/connection.rs
+++ b/crates/mesh/src/connection.rs
@@ -30,6 +30,8 @@
 use crate::http_listener::{self, Handler, InboundBody, STOP_READ_PERIOD};
 use crate::tcp_timeouts;
 
+/// Time after a stop in which the rest of a request head is awaited that has begun to arrive.
+const STOP_HEAD_PERIOD: Duration = Duration::from_millis(400);
 /// Capacity of the buffer between the socket and `hyper`, in bytes.
 const READ_AHEAD_BYTES: usize = 32 * 1024;
 /// Maximum number of pipelined requests of one connection that run ahead of `hyper`.
@@ -58,6 +60,8 @@
     wait_started: Instant,
     /// Whether the connection closes after the last outstanding response.
     is_closing: bool,
+    /// Whether requests that arrive from now on are not started.
+    is_reading_ended: bool,
     /// Position of a request with two framings, of which `hyper` hides one.
     ambiguous_request: Option<u64>,
     /// Bytes of an incomplete request head. `None` once a request could not be parsed here, after
@@ -109,6 +113,18 @@
     }
 }
 
+/// What a connection does when no further request is to be read.
+enum EndOfReading {
+    /// No request is in progress.
+    Idle,
+    /// A response is in progress, and the connection closes after it.
+    LastResponse,
+    /// Several responses are outstanding. The last one says that the connection closes.
+    Pipelined,
+    /// Part of a request head has arrived.
+    PartialHead,
+}
+
 /// Why a connection ends.
 enum Ending {
     /// `hyper` has ended it, after a last response or because of a malformed request.
@@ -160,6 +176,7 @@
             early_requests: IndexMap::new(),
             wait_started: Instant::now(),
             is_closing: false,
+            is_reading_ended: false,
             ambiguous_request: None,
             partial_head: Some(BytesMut::new()),
         };
@@ -188,7 +205,7 @@
             pin!(http_listener::builder(max_header_bytes).serve_connection(io, service));
         let mut is_stopping = false;
         let mut end_of_reading = pin!(tokio::time::sleep(Duration::ZERO));
-        let mut is_reading_ended = false;
+        let (mut is_reading_ended, mut is_head_awaited) = (false, false);
         let mut timeout_at = Instant::now() + self.remaining_timeout();
         let mut input_copy = pin!(self.copy_input(reader, &mut input_writer));
         loop {
@@ -207,10 +224,18 @@
                     end_of_reading.as_mut().reset(Instant::now() + STOP_READ_PERIOD);
                 }
                 () = &mut end_of_reading, if is_stopping && !is_reading_ended => {
-                    is_reading_ended = true;
-                    if self.close_when_idle() {
-                        return Ending::Idle;
+                    match self.end_reading() {
+                        EndOfReading::Idle => return Ending::Idle,
+                        EndOfReading::LastResponse => served.as_mut().graceful_shutdown(),
+                        EndOfReading::Pipelined => {}
+                        EndOfReading::PartialHead if !is_head_awaited => {
+                            is_head_awaited = true;
+                            end_of_reading.as_mut().reset(Instant::now() + STOP_HEAD_PERIOD);
+                            continue;
+                        }
+                        EndOfReading::PartialHead => return Ending::Idle,
                     }
+                    is_reading_ended = true;
                 }
                 () = tokio::time::sleep_until(timeout_at) => {
                     let remaining = self.remaining_timeout();
@@ -247,6 +272,9 @@
     /// Parses the requests in received bytes and starts those that are queued behind others.
     fn parse_requests(&self, bytes: &[u8]) {
         let mut pipeline = self.lock();
+        if pipeline.is_reading_ended {
+            return;
+        }
         let Some(mut partial_head) = pipeline.partial_head.take() else { return };
         if partial_head.is_empty() {
             pipeline.wait_started = Instant::now();
@@ -314,12 +342,20 @@
         response
     }
 
-    /// Marks the connection to be closed after the last response. Returns whether it is idle
-    /// already.
-    fn close_when_idle(&self) -> bool {
+    /// Marks the connection to be closed after the outstanding responses. Requests that arrive behind
+    /// them are not started, unless the head of one has begun to arrive at an idle connection.
+    fn end_reading(&self) -> EndOfReading {
         let mut pipeline = self.lock();
         pipeline.is_closing = true;
-        pipeline.is_idle() && !pipeline.has_partial_head()
+        if pipeline.is_idle() && pipeline.has_partial_head() {
+            return EndOfReading::PartialHead;
+        }
+        pipeline.is_reading_ended = true;
+        match pipeline.parsed > pipeline.service_calls {
+            _ if pipeline.is_idle() => EndOfReading::Idle,
+            true => EndOfReading::Pipelined,
+            false => EndOfReading::LastResponse,
+        }
     }
 
     /// Returns the time until the head or idle timeout, by the limits that apply now. The timeout
--- a/crates/mesh/src/dispatch.rs
+++ b/crates/mesh/src/dispatch.rs
@@ -77,6 +77,9 @@
         let (mut head, mut body) = (head, body);
         let mut is_refused = false;
         loop {
+            if self.ingress.is_refusing() {
+                return history.into_result(CallFailure::not_run(Reason::Leaving));
+            }
             let now_us = self.clock.now_us();
             let chosen = match self.choose(&head, &history, is_refused) {
                 NextVm::Chosen(chosen) => chosen,
--- a/crates/mesh/src/ingress.rs
+++ b/crates/mesh/src/ingress.rs
@@ -2,7 +2,7 @@
 
 mod announcements;
 
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -113,6 +113,10 @@
     is_stopping: AtomicBool,
     /// Whether the node reports to other nodes that it is leaving.
     is_withdrawn: AtomicBool,
+    /// Whether requests that were not sent yet are refused, since the node ends soon.
+    is_refusing: AtomicBool,
+    /// Latest deadline of requests, in microseconds: the end of a node that stops.
+    latest_deadline_us: AtomicU64,
     /// Overload of the local upstream and of the services that it calls.
     overload: Mutex<NodeOverload>,
     /// Requests that the upstream is running.
@@ -138,6 +142,8 @@
             crash_monitor: deps.crash_monitor,
             is_stopping: AtomicBool::new(false),
             is_withdrawn: AtomicBool::new(false),
+            is_refusing: AtomicBool::new(false),
+            latest_deadline_us: AtomicU64::new(u64::MAX),
             overload: Mutex::default(),
             running_requests: Arc::default(),
             metrics: deps.metrics,
@@ -146,11 +152,31 @@
     }
 
     /// Marks the node as stopping, so that readiness probes fail and connections close. Requests
-    /// that still arrive are served.
-    pub(crate) fn stop(&self) {
+    /// that still arrive are served, with deadlines before the end of the node, so that their
+    /// upstreams answer in time.
+    pub(crate) fn stop(&self, remaining: Duration) {
+        let end_us = self.clock.now_us() + remaining.as_micros() as u64;
+        self.latest_deadline_us.store(end_us, Ordering::Relaxed);
         self.is_stopping.store(true, Ordering::Relaxed);
     }
 
+    /// Returns the latest deadline that a request may have, in microseconds.
+    pub(crate) fn latest_deadline_us(&self) -> u64 {
+        self.latest_deadline_us.load(Ordering::Relaxed)
+    }
+
+    /// Refuses the requests that were not sent to an upstream yet, since too little time is left for
+    /// them before the end of the node. Their callers may send them elsewhere.
+    pub(crate) fn refuse_unsent(&self) {
+        self.is_refusing.store(true, Ordering::Relaxed);
+        self.slot_queue.refuse_all();
+    }
+
+    /// Returns whether requests that were not sent yet are refused.
+    pub(crate) fn is_refusing(&self) -> bool {
+        self.is_refusing.load(Ordering::Relaxed)
+    }
+
     /// Reports to other nodes that this node is leaving. Calls that still arrive are served.
     pub(crate) fn withdraw(&self) {
         self.is_withdrawn.store(true, Ordering::Relaxed);
@@ -401,6 +427,9 @@
 
     /// Returns the upstream if it accepts calls and runs the service of the call.
     fn serving_upstream(&self, head: &CallHead) -> Result<ServingUpstream, CallFailure> {
+        if self.is_refusing() {
+            return Err(CallFailure::not_run(Reason::Leaving));
+        }
         let upstream = self.upstream_state.serving();
         let upstream = upstream.filter(|upstream| upstream.service == head.service);
         upstream.ok_or_else(|| CallFailure::not_run(Reason::NoUpstream))
--- a/crates/mesh/src/peer.rs
+++ b/crates/mesh/src/peer.rs
@@ -310,7 +310,7 @@
         kind,
         idempotence,
         is_repeat,
-        deadline_us: clock.now_us().saturating_add(remaining_us),
+        deadline_us: clock.now_us().saturating_add(remaining_us).min(ingress.latest_deadline_us()),
         max_wait_us,
     })
 }
--- a/crates/mesh/src/server.rs
+++ b/crates/mesh/src/server.rs
@@ -49,6 +49,9 @@
 const PEER_DRAIN_PERIOD: Duration = Duration::from_millis(600);
 /// Part of the stop timeout that is reserved for the steps after the listeners have closed.
 const SHUTDOWN_RESERVE: Duration = Duration::from_millis(400);
+/// Time before the end of the listeners in which the answers of upstreams to requests that have
+/// reached their deadline are passed on.
+const ANSWER_RESERVE: Duration = Duration::from_millis(200);
 /// Interval at which the settings are polled, since they may change without a reload signal.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(1);
 /// Minimum time between two reads of the settings. Reports that do not match the settings ask for
@@ -140,13 +143,20 @@
 
     daemon::stop_requested().await?;
     info!(log, "stop-requested");
-    node.ingress.stop();
     let timeout = Duration::from_millis(node.settings.stop_timeout_ms);
+    let end = timeout.saturating_sub(SHUTDOWN_RESERVE + ANSWER_RESERVE);
+    node.ingress.stop(end.max(timeout * 3 / 4));
     let drain_period = CALLER_DRAIN_PERIOD.min(timeout / 2);
     tokio::time::sleep(drain_period.saturating_sub(PEER_DRAIN_PERIOD)).await;
     node.ingress.withdraw();
     tokio::time::sleep(PEER_DRAIN_PERIOD).await;
-    stop_listeners(&log, listeners, stop_traffic, timeout.saturating_sub(drain_period)).await;
+    let remaining = timeout.saturating_sub(drain_period);
+    let ingress = Arc::clone(&node.ingress);
+    let late_refusal = tokio::spawn(async move {
+        tokio::time::sleep(remaining / 2).await;
+        ingress.refuse_unsent();
+    });
+    stop_listeners(&log, listeners, stop_traffic, remaining).await;
     let _ = stop_control.send(true);
     let _ = tokio::task::spawn_blocking(move || control.join()).await;
     let tasks = [
@@ -157,6 +167,7 @@
         upstream_tracking,
         lease_watch,
         reloads,
+        late_refusal,
     ];
     for task in tasks {
         task.abort();
