Keep an upstream leaving when an earlier announcement arrives late

Change: the node keeps a process leaving once it has said so. Another incarnation serves. Test: upstream_that_leaves_does_not_return_by_a_late_announcement; it failed before ("the process has left").

A node of crates/node that starts again takes its upstream from announcements only, which a leaving upstream goes on to send, so nothing has to outlast it.

--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -130,12 +130,16 @@
     /// Records an announcement of the upstream and applies its limits.
     ///
     /// Restarts the ramp of the limit for a new upstream process, and refuses the queued calls if
-    /// the upstream is leaving.
-    pub(crate) fn record_announcement(&self, announcement: Announcement) {
+    /// the upstream is leaving. A process that leaves never returns to serving: an announcement
+    /// without that was sent before and arrives late.
+    pub(crate) fn record_announcement(&self, mut announcement: Announcement) {
         let previous = self.upstream.load_full();
-        let is_new_process = previous
+        let same_process = previous
             .as_ref()
-            .is_none_or(|previous| previous.announcement.incarnation != announcement.incarnation);
+            .filter(|previous| previous.announcement.incarnation == announcement.incarnation);
+        let is_new_process = same_process.is_none();
+        announcement.is_leaving |=
+            same_process.is_some_and(|previous| previous.announcement.is_leaving);
         let is_leaving = announcement.is_leaving;
         let last_announced_us = self.deps.clock.now_us();
         self.upstream.store(Some(Arc::new(Upstream { announcement, last_announced_us })));
--- a/crates/testbed/tests/graceful_stop.rs
+++ b/crates/testbed/tests/graceful_stop.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use testbed::caller::Caller;
-use testbed::cluster::Cluster;
+use testbed::cluster::{Cluster, Instance, node_status};
 use testbed::deployment::Deployment;
 use testbed::process::Process;
 use testbed::upstream_client;
@@ -177,3 +177,36 @@
     let status = front.node.as_mut().expect("a node").wait(TIMEOUT).expect("the node ends");
     assert!(status.success());
 }
+
+/// Announces an upstream to its node as `incarnation`.
+fn announce(instance: &Instance, incarnation: u64, is_leaving: bool) {
+    let announcement = serde_json::json!({
+        "service": instance.service,
+        "profile": instance.service,
+        "address": instance.upstream_listen,
+        "slots": 8,
+        "connections": 8,
+        "incarnation": incarnation,
+        "is_leaving": is_leaving,
+    });
+    let url = format!("http://{}/.heatherweir/announce", instance.egress);
+    ureq::post(&url).send_json(announcement).expect("the node takes the announcement");
+}
+
+/// Guards against an announcement of before that arrives late and makes the upstream serve again.
+#[test]
+fn upstream_that_leaves_does_not_return_by_a_late_announcement() {
+    let mut cluster = Cluster::start(Deployment::pair()).expect("the cluster starts");
+    let instance = &mut cluster.instances[0];
+    instance.upstream.kill();
+    let is_leaving = |instance: &Instance| {
+        let status = node_status(instance.node_admin).expect("the node answers");
+        status["is_leaving"].as_bool().expect("the field is a boolean")
+    };
+    announce(instance, 7, true);
+    assert!(is_leaving(instance));
+    announce(instance, 7, false);
+    assert!(is_leaving(instance), "the process has left");
+    announce(instance, 8, false);
+    assert!(!is_leaving(instance), "another process serves");
+}
