--- a/crates/control/src/formation.rs
+++ b/crates/control/src/formation.rs
@@ -197,6 +197,9 @@
 pub(crate) async fn leave(context: &ServiceContext) {
     let id = context.replica.view().id;
     let is_removable = || membership::is_removed_at_stop(&context.replica.view().membership, id);
+    if !is_removable() {
+        return;
+    }
     let removal = async {
         while is_removable() {
             if request_removal(context, id, false).await {
